--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,334 @@
+//! What is known of a machine: its worker's newest report, and the attempts on it.
+use crate::ids::{Attempt, Epoch, ImageIdx, JobId, Now, TypeIdx, ZoneIdx};
+use crate::names::{Room, Shape};
+use crate::seat::{at_least, GRACE_MS};
+use leaddeal_wire::mesh::Phase;
+use leaddeal_wire::worker::{parse_task, task_name, Op, Order, Report, TaskState, Why};
+use std::collections::{BTreeMap, VecDeque};
+
+pub type Key = (JobId, u32, Attempt);
+
+/// A wish to stop an attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StopWish {
+    pub grace_s: f64,
+    pub since: Now,
+}
+
+#[derive(Clone, Debug)]
+pub struct TaskOn {
+    pub shape: Option<Shape>,
+    pub phase: Phase,
+    /// The worker's session that it belongs to. It is started in no other.
+    pub session: u64,
+    /// Named in the last answer to a report.
+    pub answered: bool,
+    /// Part of the direct commands under way.
+    pub direct: Option<u64>,
+    /// A direct start command got no answer: a copy may be executed late. As long as the
+    /// attempt is not forgotten by the worker, such a copy does nothing.
+    pub risky: bool,
+    /// The worker listed it in its newest report.
+    pub listed: bool,
+    pub stop: Option<StopWish>,
+    /// The coordinator has taken note of its end.
+    pub acked: bool,
+    pub told: Option<(Epoch, Phase)>,
+    pub told_at: Now,
+    pub on_since: Option<Now>,
+}
+
+impl TaskOn {
+    pub fn new(shape: Option<Shape>, phase: Phase, session: u64) -> TaskOn {
+        TaskOn {
+            shape,
+            phase,
+            session,
+            answered: false,
+            direct: None,
+            risky: false,
+            listed: false,
+            stop: None,
+            acked: false,
+            told: None,
+            told_at: 0,
+            on_since: None,
+        }
+    }
+
+    pub fn over(&self) -> bool {
+        matches!(self.phase, Phase::Exited(..) | Phase::Gone)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Machine {
+    pub addr: String,
+    pub kind: Option<TypeIdx>,
+    pub zone: Option<ZoneIdx>,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    /// The worker has shown that it knows our token: what older owners grant or command is void.
+    pub confirmed: bool,
+    /// When a report was last answered by us, or may have been by an owner before us.
+    pub granted: Now,
+    pub heard: Now,
+    pub notice: Option<Now>,
+    pub tasks: BTreeMap<Key, TaskOn>,
+    pub cached: VecDeque<(ImageIdx, f64)>,
+    pub busy_at: Now,
+    pub draining: bool,
+    pub released: bool,
+    /// No offers before this time.
+    pub shunned_until: Now,
+    /// Jobs that failed here since something last succeeded.
+    pub failed: Vec<(JobId, Now)>,
+    pub direct: Option<u64>,
+    pub direct_after: Now,
+    /// The lease ran out by our count; whatever ran there is gone.
+    pub lapsed: bool,
+}
+
+impl Machine {
+    pub fn new(now: Now) -> Machine {
+        Machine {
+            addr: String::new(),
+            kind: None,
+            zone: None,
+            spot: false,
+            session: 0,
+            seq: 0,
+            confirmed: false,
+            granted: now,
+            heard: now,
+            notice: None,
+            tasks: BTreeMap::new(),
+            cached: VecDeque::new(),
+            busy_at: now,
+            draining: false,
+            released: false,
+            shunned_until: 0,
+            failed: Vec::new(),
+            direct: None,
+            direct_after: 0,
+            lapsed: false,
+        }
+    }
+
+    /// The moment from which the worker's lease is surely over, unless it is renewed.
+    pub fn lease_over_at(&self, lease_ms: u64) -> Now {
+        let granted = if self.confirmed {
+            self.granted
+        } else {
+            self.granted + at_least(GRACE_MS)
+        };
+        granted + at_least(lease_ms)
+    }
+
+    /// Takes in a report. False if it is not newer than what is known; then nothing changes.
+    pub fn apply(&mut self, r: &Report, epoch: Epoch, checkin: bool, now: Now) -> bool {
+        if (r.session, r.seq) <= (self.session, self.seq) || self.released {
+            return false;
+        }
+        // The lease is over, so the session must be: a report of it can only be a late one.
+        if self.lapsed && r.session == self.session {
+            return false;
+        }
+        if r.session > self.session {
+            for t in self.tasks.values_mut() {
+                if t.session < r.session {
+                    if !t.over() {
+                        t.phase = Phase::Gone;
+                    }
+                    t.listed = false;
+                    t.risky = false;
+                    t.direct = None;
+                }
+            }
+            self.lapsed = false;
+        }
+        self.session = r.session;
+        self.seq = r.seq;
+        self.heard = now;
+        self.addr.clone_from(&r.addr);
+        self.spot = r.spot;
+        self.confirmed |= r.token == epoch.0;
+        self.notice = r.notice_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
+        for t in self.tasks.values_mut() {
+            t.listed = false;
+        }
+        for t in &r.tasks {
+            let Some((job, task)) = parse_task(&t.task) else {
+                continue;
+            };
+            let key = (JobId(job), task, Attempt(t.attempt));
+            let on = self
+                .tasks
+                .entry(key)
+                .or_insert_with(|| TaskOn::new(None, Phase::Decided, r.session));
+            on.listed = true;
+            if on.phase == Phase::Gone {
+                continue;
+            }
+            on.phase = match t.state {
+                TaskState::Exited => {
+                    Phase::Exited(t.why.unwrap_or(Why::Other), t.saved.unwrap_or(false))
+                }
+                s => Phase::On(s),
+            };
+            if matches!(t.state, TaskState::Running) && on.on_since.is_none() {
+                on.on_since = Some(now);
+            }
+        }
+        let confirmed = self.confirmed;
+        for t in self.tasks.values_mut().filter(|t| !t.listed) {
+            match t.phase {
+                Phase::Decided => {
+                    // The answer that named it was dropped: a worker's reports follow one
+                    // another, and it executes an answer before its next report.
+                    if checkin {
+                        t.answered = false;
+                    }
+                    let never = !t.answered && !t.risky && t.direct.is_none();
+                    if t.stop.is_some() && never && confirmed && t.session <= r.session {
+                        t.phase = Phase::Gone;
+                    }
+                }
+                Phase::On(_) => t.phase = Phase::Gone,
+                Phase::Exited(..) | Phase::Gone => {}
+            }
+        }
+        if self.tasks.values().any(|t| !t.over()) {
+            self.busy_at = now;
+        }
+        self.sweep();
+        true
+    }
+
+    /// Drops what the coordinator has noted and the worker has forgotten.
+    pub fn sweep(&mut self) {
+        self.tasks
+            .retain(|_, t| !(t.acked && t.over() && !t.listed && !t.risky));
+    }
+
+    /// Everything on it is gone: its lease is over, or it was released.
+    pub fn all_gone(&mut self) {
+        for t in self.tasks.values_mut() {
+            if !t.over() {
+                t.phase = Phase::Gone;
+            }
+            t.listed = false;
+            t.risky = false;
+            t.direct = None;
+        }
+        self.direct = None;
+        self.sweep();
+    }
+
+    /// Room taken by what is, or may come to be, on it. None: something unknown is on it.
+    pub fn used(&self) -> Option<Room> {
+        let mut r = Room::default();
+        for t in self.tasks.values().filter(|t| !t.over()) {
+            r.add(t.shape.as_ref()?.need, 1);
+        }
+        Some(r)
+    }
+
+    /// Commands for the answer to a report.
+    pub fn orders(&mut self, now: Now, most: usize) -> Vec<Order> {
+        let mut v = Vec::new();
+        let session = self.session;
+        let order = |op, k: &Key, grace_s| Order {
+            op,
+            task: task_name(k.0 .0, k.1),
+            attempt: k.2 .0,
+            grace_s,
+        };
+        for (k, t) in &mut self.tasks {
+            if v.len() >= most {
+                break;
+            }
+            match (t.phase, t.stop) {
+                (Phase::Decided, None) if t.session == session => {
+                    t.answered = true;
+                    v.push(order(Op::Start, k, None));
+                }
+                // A start command without an answer may be executed at any time. Started and
+                // stopped at once, the attempt stays known to the worker, and a late copy does
+                // nothing. Only for a while, since a cancelled job must not start late.
+                (Phase::Decided, Some(s)) if t.risky && t.session == session => {
+                    if now < s.since + 8000 {
+                        v.push(order(Op::Start, k, None));
+                    }
+                    v.push(order(Op::Stop, k, Some(0.0)));
+                }
+                (Phase::On(s), Some(w)) if s != TaskState::Saving || w.grace_s == 0.0 => {
+                    v.push(order(Op::Stop, k, Some(w.grace_s)));
+                }
+                (Phase::Exited(..), _) if t.acked && t.listed && !t.risky => {
+                    v.push(order(Op::Forget, k, None));
+                }
+                _ => {}
+            }
+        }
+        v
+    }
+
+    /// Commands worth sending at once: starts and stops not on their way yet.
+    pub fn direct_orders(&mut self, batch: u64, most: usize) -> Vec<Order> {
+        let mut v = Vec::new();
+        let session = self.session;
+        for (k, t) in &mut self.tasks {
+            if v.len() >= most {
+                break;
+            }
+            let name = || task_name(k.0 .0, k.1);
+            match (t.phase, t.stop) {
+                (Phase::Decided, None) if t.session == session && !t.risky && !t.answered => {
+                    t.direct = Some(batch);
+                    v.push(Order {
+                        op: Op::Start,
+                        task: name(),
+                        attempt: k.2 .0,
+                        grace_s: None,
+                    });
+                }
+                (Phase::On(s), Some(w)) if s != TaskState::Saving || w.grace_s == 0.0 => {
+                    let grace_s = Some(w.grace_s);
+                    v.push(Order {
+                        op: Op::Stop,
+                        task: name(),
+                        attempt: k.2 .0,
+                        grace_s,
+                    });
+                }
+                _ => {}
+            }
+        }
+        v
+    }
+
+    /// The direct commands of a batch have come to an end.
+    pub fn direct_over(&mut self, batch: u64, unknown: bool) {
+        if self.direct == Some(batch) {
+            self.direct = None;
+        }
+        for t in self.tasks.values_mut().filter(|t| t.direct == Some(batch)) {
+            t.direct = None;
+            t.risky |= unknown;
+        }
+    }
+
+    pub fn note_image(&mut self, image: ImageIdx, gb: f64, cache_gb: f64) {
+        self.cached.retain(|c| c.0 != image);
+        self.cached.push_back((image, gb));
+        while self.cached.len() > 1 && self.cached.iter().map(|c| c.1).sum::<f64>() > cache_gb {
+            self.cached.pop_front();
+        }
+    }
+
+    pub fn has_image(&self, image: ImageIdx) -> bool {
+        self.cached.iter().any(|c| c.0 == image)
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,68 @@
+//! Newtypes for what is counted and named.
+
+macro_rules! id {
+    ($(#[$m:meta])* $name:ident, $t:ty) => {
+        $(#[$m])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+        pub struct $name(pub $t);
+    };
+}
+
+id!(
+    /// Number in a job's name.
+    JobId, u64);
+id!(MachineIdx, u32);
+id!(ImageIdx, u32);
+id!(TypeIdx, u8);
+id!(ZoneIdx, u8);
+id!(NodeIdx, u8);
+id!(
+    /// A share of the machines and of the jobs; there are as many as controllers.
+    Seat, u8);
+id!(
+    /// Revision at which a seat was acquired: the condition of its owner's writes and the token
+    /// of its commands to workers.
+    Epoch, u64);
+id!(
+    /// One start of a task. Never used twice for a task: it contains the epoch and the round.
+    Attempt, u64);
+id!(Negotiation, u64);
+
+/// Milliseconds of this process's steady clock.
+pub type Now = u64;
+
+/// Decision rounds within one epoch; the rest of an attempt's number is the epoch.
+pub const ROUND_BITS: u32 = 20;
+
+impl Attempt {
+    pub fn new(epoch: Epoch, round: u64) -> Attempt {
+        Attempt((epoch.0 << ROUND_BITS) | (round & ((1 << ROUND_BITS) - 1)))
+    }
+}
+
+/// A well-mixed hash that is the same on every node and in every version.
+fn mix(mut x: u64) -> u64 {
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^ (x >> 33)
+}
+
+/// The seat that coordinates a job.
+pub fn seat_of_job(job: JobId, seats: usize) -> Seat {
+    Seat((mix(job.0) % seats as u64) as u8)
+}
+
+/// The seat whose part a machine belongs to.
+pub fn seat_of_machine(name: &str, seats: usize) -> Seat {
+    let digits: String = name.chars().filter(|c| c.is_ascii_digit()).collect();
+    // Machines are named in order: going round shares them out evenly.
+    let n = match digits.parse::<u64>() {
+        Ok(n) => n,
+        Err(_) => mix(name.bytes().fold(7u64, |h, b| {
+            h.wrapping_mul(31).wrapping_add(u64::from(b) + 1)
+        })),
+    };
+    Seat((n % seats as u64) as u8)
+}
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,207 @@
+//! The jobs of a seat: what is done, placed and still to be placed.
+use crate::bits::{Bits, CHUNK};
+use crate::ids::{Attempt, JobId, MachineIdx, Now, ZoneIdx};
+use crate::names::Shape;
+use leaddeal_wire::mesh::{self, Phase};
+use leaddeal_wire::user::{self, JobState, Kind, Status};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+#[derive(Clone, Debug)]
+pub struct Placement {
+    pub attempt: Attempt,
+    pub machine: MachineIdx,
+    pub session: u64,
+    pub zone: ZoneIdx,
+    pub phase: Phase,
+    /// Number of the decision that holds it.
+    pub round: u64,
+    pub placed_at: Now,
+    /// When `Place` was last sent.
+    pub sent_at: Now,
+    /// Grace and the time at which `Stop` was last sent.
+    pub stop: Option<(f64, Now)>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub id: JobId,
+    pub wire: user::Job,
+    pub shape: Shape,
+    pub created: Now,
+    pub done: Bits,
+    next_fresh: u32,
+    again: BTreeSet<u32>,
+    pub placed: BTreeMap<u32, Placement>,
+    /// Not asked for before this time.
+    pub not_before: Now,
+    pub refusals: u32,
+    /// Failures in a row without a completion in between.
+    pub errors: u32,
+    /// Durable and told: no task of it may start any more.
+    pub cancelled: bool,
+    pub dirty: BTreeSet<u32>,
+    /// Done events to be acknowledged once they are durable: (task, attempt, machine, round).
+    pub unfolded: Vec<(u32, Attempt, MachineIdx, u64)>,
+    /// Being written as final.
+    pub finishing: Option<Status>,
+    pub cancel_reqs: Vec<u64>,
+}
+
+pub fn wire_shape(j: &user::Job) -> mesh::Shape {
+    let up = |v: f64| (v * 1000.0 - 1e-6).ceil().max(0.0) as u64;
+    mesh::Shape {
+        kind: j.kind,
+        priority: j.priority,
+        cpu: up(j.cpus),
+        gpu: up(j.gpus),
+        mem: up(j.memory_gb),
+        types: j.types.clone(),
+        spot: j.spot,
+        image: j.image.clone(),
+        image_gb: j.image_gb,
+        save_s: j.save_s,
+        checkpoint_s: j.checkpoint_s,
+        estimate_s: j.estimate_s,
+    }
+}
+
+impl Job {
+    pub fn new(id: JobId, wire: user::Job, shape: Shape, created: Now) -> Job {
+        Job {
+            id,
+            wire,
+            shape,
+            created,
+            done: Bits::default(),
+            next_fresh: 0,
+            again: BTreeSet::new(),
+            placed: BTreeMap::new(),
+            not_before: 0,
+            refusals: 0,
+            errors: 0,
+            cancelled: false,
+            dirty: BTreeSet::new(),
+            unfolded: Vec::new(),
+            finishing: None,
+            cancel_reqs: Vec::new(),
+        }
+    }
+
+    /// Stands for a job that is over while tasks of it may still be on machines.
+    pub fn leftover(id: JobId, names: &mut crate::names::Names) -> Job {
+        let wire = user::Job {
+            id: user::job_id(id.0),
+            class: String::new(),
+            team: String::new(),
+            kind: Kind::Array,
+            priority: user::Priority::Low,
+            tasks: 100_000,
+            cpus: 0.0,
+            gpus: 0.0,
+            memory_gb: 0.0,
+            image: String::new(),
+            image_gb: 0.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 0.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        let shape = names.shape(&Arc::new(wire_shape(&wire)));
+        let mut j = Job::new(id, wire, shape, 0);
+        j.cancelled = true;
+        j
+    }
+
+    pub fn pending(&self) -> u32 {
+        self.wire.tasks - self.done.len() - self.placed.len() as u32
+    }
+
+    /// Takes the next task to be placed.
+    pub fn take(&mut self) -> Option<u32> {
+        if let Some(t) = self.again.pop_first() {
+            return Some(t);
+        }
+        while self.next_fresh < self.wire.tasks {
+            let t = self.next_fresh;
+            self.next_fresh += 1;
+            if !self.done.get(t) && !self.placed.contains_key(&t) {
+                return Some(t);
+            }
+        }
+        None
+    }
+
+    /// Puts a task back that was taken or has lost its place.
+    pub fn give_back(&mut self, task: u32) {
+        if task < self.next_fresh && !self.done.get(task) {
+            self.again.insert(task);
+        }
+    }
+
+    pub fn set_done(&mut self, task: u32) {
+        if task < self.wire.tasks && self.done.set(task) {
+            self.again.remove(&task);
+            self.dirty.insert(task / CHUNK);
+        }
+    }
+
+    pub fn complete(&self) -> bool {
+        self.wire.kind != Kind::Service && self.done.len() == self.wire.tasks
+    }
+
+    pub fn state(&self) -> JobState {
+        let running = self
+            .placed
+            .values()
+            .filter(|p| {
+                use leaddeal_wire::worker::TaskState as T;
+                matches!(p.phase, Phase::On(T::Running | T::Saving))
+            })
+            .count() as u32;
+        let status = match (self.cancelled, running) {
+            (true, _) => Status::Cancelled,
+            (false, 0) => Status::Queued,
+            (false, _) => Status::Running,
+        };
+        JobState {
+            id: user::job_id(self.id.0),
+            status,
+            done: self.done.len(),
+            running,
+        }
+    }
+
+    /// How many more tasks each zone may take, given those that may still be in one.
+    pub fn zone_room(&self, zones: &[String]) -> Vec<u32> {
+        let n = self.wire.tasks;
+        let mut used = vec![0u32; zones.len()];
+        for p in self.placed.values() {
+            if let Some(u) = used.get_mut(p.zone.0 as usize) {
+                *u += 1;
+            }
+        }
+        let any = used.iter().any(|&u| u > 0);
+        zones
+            .iter()
+            .zip(&used)
+            .map(|(z, &u)| {
+                if self.wire.zone.as_ref().is_some_and(|w| w != z) {
+                    return 0;
+                }
+                if self.wire.one_zone && any && u == 0 {
+                    return 0;
+                }
+                if self.wire.spread {
+                    return n.div_ceil(2).saturating_sub(u);
+                }
+                n
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,18 @@
+//! The scheduler core: a state machine that takes inputs and returns what to send, write and
+//! answer. No I/O, no clock, no async; time and randomness are passed in.
+
+pub mod bits;
+pub mod buyer;
+pub mod coordinator;
+pub mod fleet;
+pub mod ids;
+pub mod io;
+pub mod jobs;
+pub mod names;
+pub mod node;
+pub mod participant;
+pub mod preemption;
+pub mod seat;
+
+pub use io::{Input, Output};
+pub use node::Node;
--- /dev/null
+++ b/crates/core/src/names.rs
@@ -0,0 +1,152 @@
+//! Names are mapped to dense indices at the door.
+use crate::ids::{ImageIdx, MachineIdx, TypeIdx, ZoneIdx};
+use leaddeal_wire::cloud::{Catalog, MachineType};
+use leaddeal_wire::mesh;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+#[derive(Default, Debug)]
+pub struct Interner {
+    by_name: HashMap<Arc<str>, u32>,
+    names: Vec<Arc<str>>,
+}
+
+impl Interner {
+    pub fn intern(&mut self, s: &str) -> u32 {
+        if let Some(&i) = self.by_name.get(s) {
+            return i;
+        }
+        let i = self.names.len() as u32;
+        let a: Arc<str> = s.into();
+        self.names.push(a.clone());
+        self.by_name.insert(a, i);
+        i
+    }
+
+    pub fn find(&self, s: &str) -> Option<u32> {
+        self.by_name.get(s).copied()
+    }
+
+    pub fn name(&self, i: u32) -> &str {
+        &self.names[i as usize]
+    }
+}
+
+/// What a task takes or a machine has: thousandths of cores and GPUs, MB.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    pub cpu: u64,
+    pub gpu: u64,
+    pub mem: u64,
+}
+
+impl Room {
+    pub fn add(&mut self, o: Room, n: u64) {
+        self.cpu += o.cpu * n;
+        self.gpu += o.gpu * n;
+        self.mem += o.mem * n;
+    }
+
+    pub fn sub(&mut self, o: Room, n: u64) {
+        self.cpu = self.cpu.saturating_sub(o.cpu * n);
+        self.gpu = self.gpu.saturating_sub(o.gpu * n);
+        self.mem = self.mem.saturating_sub(o.mem * n);
+    }
+
+    /// How many times `o` fits in.
+    pub fn fits(&self, o: Room) -> u64 {
+        let f = |a: u64, b: u64| a.checked_div(b).unwrap_or(u64::MAX);
+        f(self.cpu, o.cpu)
+            .min(f(self.gpu, o.gpu))
+            .min(f(self.mem, o.mem))
+    }
+}
+
+/// A task's needs with names resolved.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub wire: Arc<mesh::Shape>,
+    pub need: Room,
+    pub image: ImageIdx,
+}
+
+#[derive(Default, Debug)]
+pub struct Names {
+    machines: Interner,
+    images: Interner,
+    pub zones: Vec<String>,
+    pub catalog: Vec<MachineType>,
+}
+
+impl Names {
+    pub fn machine(&mut self, s: &str) -> MachineIdx {
+        MachineIdx(self.machines.intern(s))
+    }
+
+    pub fn find_machine(&self, s: &str) -> Option<MachineIdx> {
+        self.machines.find(s).map(MachineIdx)
+    }
+
+    pub fn machine_name(&self, m: MachineIdx) -> &str {
+        self.machines.name(m.0)
+    }
+
+    pub fn zone(&self, s: &str) -> Option<ZoneIdx> {
+        self.zones
+            .iter()
+            .position(|z| z == s)
+            .map(|i| ZoneIdx(i as u8))
+    }
+
+    pub fn type_idx(&self, s: &str) -> Option<TypeIdx> {
+        self.catalog
+            .iter()
+            .position(|t| t.name == s)
+            .map(|i| TypeIdx(i as u8))
+    }
+
+    pub fn set_catalog(&mut self, c: Catalog) {
+        // Indices stay: known types keep their place, new ones come after.
+        for t in c.types {
+            let room = self.catalog.len() < 250;
+            match self.catalog.iter_mut().find(|x| x.name == t.name) {
+                Some(x) => *x = t,
+                None if room => self.catalog.push(t),
+                None => {}
+            }
+        }
+    }
+
+    pub fn room_of_type(&self, t: TypeIdx) -> Room {
+        let t = &self.catalog[t.0 as usize];
+        Room {
+            cpu: (t.cpus * 1000.0 + 1e-6).floor() as u64,
+            gpu: (t.gpus * 1000.0 + 1e-6).floor() as u64,
+            mem: (t.memory_gb * 1000.0 + 1e-6).floor() as u64,
+        }
+    }
+
+    pub fn shape(&mut self, wire: &Arc<mesh::Shape>) -> Shape {
+        Shape {
+            need: Room {
+                cpu: wire.cpu,
+                gpu: wire.gpu,
+                mem: wire.mem,
+            },
+            image: ImageIdx(self.images.intern(&wire.image)),
+            wire: wire.clone(),
+        }
+    }
+
+    /// Whether a task of this shape may run on this type and kind of machine at all.
+    pub fn allows(&self, shape: &mesh::Shape, t: TypeIdx, spot: bool) -> bool {
+        if spot && !shape.spot {
+            return false;
+        }
+        let name = &self.catalog[t.0 as usize].name;
+        shape
+            .types
+            .as_ref()
+            .is_none_or(|l| l.iter().any(|x| x == name))
+    }
+}
--- /dev/null
+++ b/crates/core/src/participant.rs
@@ -0,0 +1,576 @@
+//! A seat's machines: holds room, offers it, starts what was decided, and proves what is gone.
+use crate::fleet::{Key, Machine, StopWish, TaskOn};
+use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat};
+use crate::names::{Room, Shape};
+use crate::node::Ctx;
+use crate::seat::at_least;
+use leaddeal_wire::mesh::{
+    AttemptRef, MachineInfo, Offer, Phase, Pick, SeatMsg, TaskEvent, Wanted,
+};
+use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Answers to a report name at most this many commands.
+const ORDERS: usize = 150;
+const SHUN_MS: u64 = 60_000;
+
+#[derive(Clone, Debug)]
+struct Hold {
+    seat: Seat,
+    negotiation: Negotiation,
+    job: JobId,
+    machine: MachineIdx,
+    need: Room,
+    count: u64,
+}
+
+#[derive(Debug)]
+pub struct Part {
+    pub seat: Seat,
+    pub epoch: Epoch,
+    pub since: Now,
+    pub machines: BTreeMap<MachineIdx, Machine>,
+    holds: Vec<Hold>,
+    asked_at: Now,
+    /// The newest epoch heard of, by coordinator's seat.
+    coordinators: Vec<Epoch>,
+    dirty: BTreeSet<MachineIdx>,
+    next_batch: u64,
+    /// GPU work asked for lately: room is kept for it on machines with GPUs.
+    gpu_work: HashMap<(u64, u64, u64), Now>,
+}
+
+impl Part {
+    pub fn new(seat: Seat, epoch: Epoch, now: Now, seats: usize) -> Part {
+        Part {
+            seat,
+            epoch,
+            since: now,
+            machines: BTreeMap::new(),
+            holds: Vec::new(),
+            asked_at: now,
+            coordinators: vec![Epoch(0); seats],
+            dirty: BTreeSet::new(),
+            next_batch: epoch.0 << 20,
+            gpu_work: HashMap::new(),
+        }
+    }
+
+    fn machine(&mut self, m: MachineIdx) -> &mut Machine {
+        // Not heard of yet: an owner before us may have granted its worker a lease until now.
+        let since = self.since;
+        self.machines
+            .entry(m)
+            .or_insert_with(|| Machine::new(since))
+    }
+
+    /// A report to be answered. None: the worker knows a newer owner.
+    pub fn report(&mut self, ctx: &mut Ctx, r: &Report) -> Option<Answer> {
+        if r.token > self.epoch.0 {
+            return None;
+        }
+        let idx = ctx.names.machine(&r.machine);
+        let m = self.machine(idx);
+        if m.released {
+            return None;
+        }
+        self.take_report(ctx, idx, r, true);
+        let now = ctx.now;
+        let epoch = self.epoch;
+        let m = self.machine(idx);
+        // A late report of a session that is over by our count must not renew its lease.
+        if m.lapsed {
+            return None;
+        }
+        let stale = (r.session, r.seq) != (m.session, m.seq);
+        m.granted = now;
+        let orders = if stale || !ctx.valid {
+            Vec::new()
+        } else {
+            m.orders(now, ORDERS)
+        };
+        Some(Answer {
+            token: epoch.0,
+            orders,
+        })
+    }
+
+    fn take_report(&mut self, ctx: &mut Ctx, idx: MachineIdx, r: &Report, checkin: bool) {
+        let now = ctx.now;
+        let epoch = self.epoch;
+        let kind = ctx.names.type_idx(&r.type_name);
+        let zone = ctx.names.zone(&r.zone);
+        let m = self.machine(idx);
+        m.kind = kind;
+        m.zone = zone;
+        let before: Vec<Key> = m
+            .tasks
+            .iter()
+            .filter(|(_, t)| t.over())
+            .map(|(k, _)| *k)
+            .collect();
+        if !m.apply(r, epoch, checkin, now) {
+            return;
+        }
+        let cache = kind.map_or(0.0, |k| ctx.names.catalog[k.0 as usize].cache_gb);
+        let mut images = Vec::new();
+        for (k, t) in &m.tasks {
+            if let (Some(s), Phase::On(TaskState::Running | TaskState::Waiting)) =
+                (&t.shape, t.phase)
+            {
+                images.push((s.image, s.wire.image_gb));
+            }
+            if before.binary_search(k).is_ok() {
+                continue;
+            }
+            match t.phase {
+                Phase::Exited(Why::Error | Why::Other, _) => {
+                    if !m.failed.iter().any(|f| f.0 == k.0) {
+                        m.failed.push((k.0, now));
+                    }
+                    // Tasks of several jobs fail here: it is the machine.
+                    if m.failed.len() >= 2 {
+                        m.shunned_until = now + SHUN_MS;
+                        let n = ctx.names.machine_name(idx).to_string();
+                        ctx.out.log(1, "machine_suspected", || n);
+                    }
+                }
+                Phase::Exited(Why::Done, _) => {
+                    m.failed.clear();
+                    m.shunned_until = 0;
+                    if let Some(s) = &t.shape {
+                        images.push((s.image, s.wire.image_gb));
+                    }
+                }
+                Phase::Exited(Why::Full, _) => m.shunned_until = m.shunned_until.max(now + 2000),
+                _ => {}
+            }
+        }
+        images.dedup_by_key(|i| i.0);
+        for (image, gb) in images {
+            m.note_image(image, gb, cache);
+        }
+        // Notice from the cloud: what can save does so and moves; the rest may still finish.
+        if m.notice.is_some() {
+            for t in m.tasks.values_mut() {
+                if t.stop.is_none() && matches!(t.phase, Phase::On(TaskState::Running)) {
+                    if let Some(s) = t.shape.as_ref().filter(|s| s.wire.checkpoint_s > 0.0) {
+                        let grace_s = s.wire.save_s + 5.0;
+                        t.stop = Some(StopWish {
+                            grace_s,
+                            since: now,
+                        });
+                    }
+                }
+            }
+        }
+        self.dirty.insert(idx);
+    }
+
+    pub fn direct_outcome(
+        &mut self,
+        ctx: &mut Ctx,
+        machine: &str,
+        batch: u64,
+        report: Option<&Report>,
+        unknown: bool,
+    ) {
+        let Some(idx) = ctx.names.find_machine(machine) else {
+            return;
+        };
+        let now = ctx.now;
+        let Some(m) = self.machines.get_mut(&idx) else {
+            return;
+        };
+        match report {
+            Some(r) => {
+                // What was executed is in this report or a newer one.
+                let newer = (r.session, r.seq) > (m.session, m.seq);
+                if newer {
+                    self.take_report(ctx, idx, r, false);
+                }
+                self.machine(idx).direct_over(batch, false);
+            }
+            None => {
+                m.direct_over(batch, unknown);
+                m.direct_after = now + 2000;
+            }
+        }
+        self.dirty.insert(idx);
+    }
+
+    /// A message of a coordinator. `epoch` is the sender's.
+    pub fn handle(&mut self, ctx: &mut Ctx, from: Seat, epoch: Epoch, msg: SeatMsg) {
+        if !self.see_coordinator(from, epoch) {
+            return;
+        }
+        match msg {
+            SeatMsg::Request { negotiation, items } => {
+                self.offer(ctx, from, Negotiation(negotiation), &items);
+            }
+            SeatMsg::Close { negotiation } => {
+                self.holds
+                    .retain(|h| h.seat != from || h.negotiation.0 != negotiation);
+            }
+            SeatMsg::Place { job, shape, picks } => {
+                let shape = ctx.names.shape(&shape);
+                for p in picks {
+                    self.place(ctx, from, JobId(job), &shape, &p);
+                }
+            }
+            SeatMsg::Stop { what, grace_s } => self.stop(ctx, &what, grace_s),
+            SeatMsg::Forget { what } => {
+                let idx = ctx.names.machine(&what.machine);
+                if let Some(m) = self.machines.get_mut(&idx) {
+                    let k = (JobId(what.job), what.task, Attempt(what.attempt));
+                    if let Some(t) = m.tasks.get_mut(&k) {
+                        t.acked |= t.over();
+                    }
+                    m.sweep();
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A new epoch of a coordinator's seat is a no to every open negotiation of older ones.
+    /// False: the sender's time is over.
+    pub fn see_coordinator(&mut self, seat: Seat, epoch: Epoch) -> bool {
+        let Some(known) = self.coordinators.get_mut(seat.0 as usize) else {
+            return false;
+        };
+        if epoch < *known {
+            return false;
+        }
+        if epoch > *known {
+            *known = epoch;
+            self.holds.retain(|h| h.seat != seat);
+            self.dirty.extend(self.machines.keys().copied());
+        }
+        true
+    }
+
+    fn place(&mut self, ctx: &mut Ctx, from: Seat, job: JobId, shape: &Shape, p: &Pick) {
+        let idx = ctx.names.machine(&p.machine);
+        if let Some(h) = self
+            .holds
+            .iter_mut()
+            .find(|h| h.seat == from && h.job == job && h.machine == idx && h.count > 0)
+        {
+            h.count -= 1;
+        }
+        let m = self.machine(idx);
+        let gone = m.released || p.session < m.session || (m.lapsed && p.session <= m.session);
+        let t = m
+            .tasks
+            .entry((job, p.task, Attempt(p.attempt)))
+            .or_insert_with(|| {
+                let phase = if gone { Phase::Gone } else { Phase::Decided };
+                TaskOn::new(None, phase, p.session)
+            });
+        t.shape = Some(shape.clone());
+        // Tell again whatever there is to tell: the sender does not know it.
+        t.told = None;
+        self.dirty.insert(idx);
+    }
+
+    fn stop(&mut self, ctx: &mut Ctx, what: &AttemptRef, grace_s: f64) {
+        let now = ctx.now;
+        let idx = ctx.names.machine(&what.machine);
+        let m = self.machine(idx);
+        let session = m.session;
+        let (confirmed, released) = (m.confirmed, m.released || m.lapsed);
+        let t = m
+            .tasks
+            .entry((JobId(what.job), what.task, Attempt(what.attempt)))
+            .or_insert_with(|| TaskOn::new(None, Phase::Decided, session));
+        if t.stop.is_none_or(|s| s.grace_s > grace_s) {
+            t.stop = Some(StopWish {
+                grace_s,
+                since: now,
+            });
+        }
+        // Never sent by us, and no older owner's command counts any more.
+        let never = !t.answered && !t.risky && t.direct.is_none() && !t.listed;
+        if t.phase == Phase::Decided && never && (confirmed || released) {
+            t.phase = Phase::Gone;
+        }
+        t.told = None;
+        self.dirty.insert(idx);
+    }
+
+    fn free(&self, idx: MachineIdx, m: &Machine, names: &crate::names::Names) -> Option<Room> {
+        let mut free = names.room_of_type(m.kind?);
+        free.sub(m.used()?, 1);
+        for h in self.holds.iter().filter(|h| h.machine == idx) {
+            free.sub(h.need, h.count);
+        }
+        Some(free)
+    }
+
+    fn offer(&mut self, ctx: &mut Ctx, from: Seat, negotiation: Negotiation, items: &[Wanted]) {
+        let now = ctx.now;
+        let mut offers = Vec::new();
+        self.gpu_work.retain(|_, t| *t + 300_000 > now);
+        for (i, w) in items.iter().enumerate() {
+            let shape = ctx.names.shape(&w.shape);
+            if shape.need.gpu > 0 {
+                let n = shape.need;
+                self.gpu_work.insert((n.cpu, n.gpu, n.mem), now);
+            }
+            let mut choices = Vec::new();
+            for (&idx, m) in &self.machines {
+                let (Some(kind), Some(zone)) = (m.kind, m.zone) else {
+                    continue;
+                };
+                let usable = !m.draining
+                    && !m.released
+                    && !m.lapsed
+                    && m.confirmed
+                    && m.notice.is_none()
+                    && m.shunned_until <= now
+                    && now < m.heard + ctx.cfg.quiet_ms
+                    && !m
+                        .failed
+                        .iter()
+                        .any(|f| f.0 .0 == w.job && f.1 + SHUN_MS > now);
+                if !usable || !ctx.names.allows(&w.shape, kind, m.spot) {
+                    continue;
+                }
+                let Some(mut free) = self.free(idx, m, ctx.names) else {
+                    continue;
+                };
+                let whole = ctx.names.room_of_type(kind);
+                let mut left = free;
+                if shape.need.gpu == 0 && whole.gpu > 0 {
+                    // Work without GPUs leaves room for the GPU work that is known.
+                    for &(cpu, gpu, mem) in self.gpu_work.keys() {
+                        let n = Room { cpu, gpu, mem };
+                        let k = free.fits(n);
+                        if k > 0 {
+                            let mut f = free;
+                            f.sub(n, k);
+                            left.cpu = left.cpu.min(f.cpu);
+                            left.mem = left.mem.min(f.mem);
+                        }
+                    }
+                }
+                free = left;
+                let n = free.fits(shape.need);
+                if n == 0 {
+                    continue;
+                }
+                let cached = m.has_image(shape.image);
+                let gpu_waste = shape.need.gpu == 0 && whole.gpu > 0;
+                choices.push((
+                    gpu_waste,
+                    !cached,
+                    -(free.cpu as i64),
+                    idx,
+                    zone,
+                    n,
+                    m.session,
+                ));
+            }
+            choices.sort_unstable();
+            let mut zone_room = w.zone_room.clone();
+            let mut wanted = w.count;
+            for (gpu_waste, uncached, neg_free, idx, zone, n, session) in choices {
+                let Some(zr) = zone_room.get_mut(zone.0 as usize) else {
+                    continue;
+                };
+                let count = (n.min(u64::from(u32::MAX)) as u32).min(wanted).min(*zr);
+                if count == 0 {
+                    continue;
+                }
+                *zr -= count;
+                wanted -= count;
+                self.holds.push(Hold {
+                    seat: from,
+                    negotiation,
+                    job: JobId(w.job),
+                    machine: idx,
+                    need: shape.need,
+                    count: u64::from(count),
+                });
+                offers.push(Offer {
+                    item: i as u16,
+                    machine: ctx.names.machine_name(idx).to_string(),
+                    session,
+                    zone: zone.0,
+                    count,
+                    cached: !uncached,
+                    score: -neg_free - if gpu_waste { 1_000_000 } else { 0 },
+                });
+                if wanted == 0 {
+                    break;
+                }
+            }
+        }
+        ctx.send(
+            self.seat,
+            from,
+            SeatMsg::Offers {
+                negotiation: negotiation.0,
+                offers,
+            },
+        );
+    }
+
+    /// Tells the coordinators what changed, and commands the workers.
+    pub fn flush(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let mut events: BTreeMap<u8, Vec<TaskEvent>> = BTreeMap::new();
+        let dirty = std::mem::take(&mut self.dirty);
+        for idx in dirty {
+            let Some(m) = self.machines.get_mut(&idx) else {
+                continue;
+            };
+            for (k, t) in &mut m.tasks {
+                if t.acked {
+                    continue;
+                }
+                let seat = ctx.seat_of_job(k.0);
+                let Some(epoch) = ctx.owner(seat).map(|o| o.epoch) else {
+                    continue;
+                };
+                let again = t.over() && now >= t.told_at + 2000;
+                if t.told == Some((epoch, t.phase)) && !again {
+                    continue;
+                }
+                t.told = Some((epoch, t.phase));
+                t.told_at = now;
+                events.entry(seat.0).or_default().push(TaskEvent {
+                    job: k.0 .0,
+                    task: k.1,
+                    attempt: k.2 .0,
+                    machine: ctx.names.machine_name(idx).to_string(),
+                    phase: t.phase,
+                });
+            }
+            // Straight to the worker.
+            if ctx.valid && m.direct.is_none() && !m.released && !m.lapsed && m.session > 0 {
+                let quiet = now >= m.heard + ctx.cfg.quiet_ms;
+                if now >= m.direct_after && !quiet && !m.addr.is_empty() {
+                    self.next_batch += 1;
+                    let batch = self.next_batch;
+                    let orders = m.direct_orders(batch, ORDERS);
+                    if !orders.is_empty() {
+                        m.direct = Some(batch);
+                        let direct = Direct {
+                            token: self.epoch.0,
+                            session: m.session,
+                            orders,
+                        };
+                        ctx.direct(idx, m.addr.clone(), batch, direct);
+                    }
+                }
+            }
+        }
+        for (seat, events) in events {
+            for c in events.chunks(200) {
+                ctx.send(
+                    self.seat,
+                    Seat(seat),
+                    SeatMsg::Events { events: c.to_vec() },
+                );
+            }
+        }
+    }
+
+    pub fn tick(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let lease = ctx.cfg.worker_lease_ms;
+        let mut drop = Vec::new();
+        for (&idx, m) in &mut self.machines {
+            if !m.lapsed && !m.released && now > m.lease_over_at(lease) {
+                m.lapsed = true;
+                m.all_gone();
+                let n = ctx.names.machine_name(idx).to_string();
+                ctx.out.log(1, "machine_lost", || n);
+                self.dirty.insert(idx);
+            }
+            if m.tasks
+                .values()
+                .any(|t| t.over() && !t.acked && now >= t.told_at + 2000)
+            {
+                self.dirty.insert(idx);
+            }
+            if (m.released || m.lapsed) && m.tasks.is_empty() && now > m.heard + 300_000 {
+                drop.push(idx);
+            }
+        }
+        for idx in drop {
+            self.machines.remove(&idx);
+        }
+        // Holds end by decision. If none came, it got lost: ask for it.
+        if now >= self.asked_at + 2000 {
+            self.asked_at = now;
+            let open: BTreeSet<(u8, u64)> = self
+                .holds
+                .iter()
+                .map(|h| (h.seat.0, h.negotiation.0))
+                .collect();
+            for (seat, negotiation) in open {
+                ctx.send(self.seat, Seat(seat), SeatMsg::AskDecision { negotiation });
+            }
+        }
+    }
+
+    pub fn inventory(&self, ctx: &Ctx) -> Vec<MachineInfo> {
+        let now = ctx.now;
+        let lease = at_least(ctx.cfg.worker_lease_ms);
+        self.machines
+            .iter()
+            .filter(|(_, m)| !m.released && m.kind.is_some())
+            .map(|(&idx, m)| {
+                let held = self.holds.iter().any(|h| h.machine == idx);
+                let idle = !held && m.tasks.values().all(TaskOn::over);
+                MachineInfo {
+                    machine: ctx.names.machine_name(idx).to_string(),
+                    type_name: m
+                        .kind
+                        .map(|k| ctx.names.catalog[k.0 as usize].name.clone())
+                        .unwrap_or_default(),
+                    zone: m
+                        .zone
+                        .map(|z| ctx.names.zones[z.0 as usize].clone())
+                        .unwrap_or_default(),
+                    spot: m.spot,
+                    idle_ms: idle.then(|| now.saturating_sub(m.busy_at)),
+                    dead: m.lapsed && now > m.heard + lease,
+                    draining: m.draining,
+                }
+            })
+            .collect()
+    }
+
+    /// Sets an idle machine aside. False: it has work, or may get some.
+    pub fn drain(&mut self, ctx: &mut Ctx, machine: &str) -> bool {
+        let idx = ctx.names.machine(machine);
+        if self.holds.iter().any(|h| h.machine == idx) {
+            return false;
+        }
+        let m = self.machine(idx);
+        if m.tasks.values().any(|t| !t.over()) {
+            return false;
+        }
+        m.draining = true;
+        true
+    }
+
+    pub fn undrain(&mut self, ctx: &mut Ctx, machine: &str) {
+        let idx = ctx.names.machine(machine);
+        if let Some(m) = self.machines.get_mut(&idx) {
+            m.draining = false;
+        }
+    }
+
+    pub fn released(&mut self, ctx: &mut Ctx, machine: &str) {
+        let idx = ctx.names.machine(machine);
+        let m = self.machine(idx);
+        m.released = true;
+        m.all_gone();
+        self.dirty.insert(idx);
+    }
+}
--- /dev/null
+++ b/crates/core/src/preemption.rs
@@ -0,0 +1,88 @@
+//! Whom to stop so that more important work finds room.
+use crate::names::Room;
+use leaddeal_wire::user::Priority;
+
+/// A task that could be stopped.
+#[derive(Clone, Debug)]
+pub struct Candidate<K> {
+    pub key: K,
+    pub priority: Priority,
+    pub need: Room,
+    /// Work lost by stopping it, in thousandths of core-seconds or the like.
+    pub loss: u64,
+}
+
+/// The cheapest set of less important tasks whose room, added to `free`, lets `need` in at
+/// least once. Least important first, then the least loss.
+pub fn victims<K: Clone>(
+    free: Room,
+    need: Room,
+    priority: Priority,
+    mut tasks: Vec<Candidate<K>>,
+) -> Option<(Vec<K>, u64)> {
+    tasks.retain(|c| c.priority < priority);
+    tasks.sort_by_key(|c| (c.priority, c.loss));
+    let mut room = free;
+    let mut chosen: Vec<Candidate<K>> = Vec::new();
+    for c in tasks {
+        if room.fits(need) >= 1 {
+            break;
+        }
+        room.add(c.need, 1);
+        chosen.push(c);
+    }
+    if room.fits(need) < 1 {
+        return None;
+    }
+    // Drop those that turned out not to be needed.
+    let mut i = 0;
+    while i < chosen.len() {
+        let mut r = room;
+        r.sub(chosen[i].need, 1);
+        if r.fits(need) >= 1 {
+            room = r;
+            chosen.remove(i);
+        } else {
+            i += 1;
+        }
+    }
+    let loss = chosen.iter().map(|c| c.loss + 1).sum();
+    Some((chosen.into_iter().map(|c| c.key).collect(), loss))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn stops_only_lower_and_no_more_than_needed() {
+        let r = |cpu| Room {
+            cpu,
+            gpu: 0,
+            mem: 0,
+        };
+        let c = |key, priority, cpu, loss| Candidate {
+            key,
+            priority,
+            need: r(cpu),
+            loss,
+        };
+        let tasks = vec![
+            c(1, Priority::Normal, 2, 0),
+            c(2, Priority::Low, 1, 5),
+            c(3, Priority::Low, 2, 9),
+            c(4, Priority::High, 8, 0),
+        ];
+        let (v, _) = victims(r(0), r(2), Priority::High, tasks.clone()).expect("room to be made");
+        assert_eq!(
+            v,
+            vec![3],
+            "the small one alone does not help, so it is spared"
+        );
+        assert!(victims(r(0), r(6), Priority::High, tasks.clone()).is_none());
+        assert!(
+            victims(r(0), r(1), Priority::Low, tasks).is_none(),
+            "never its own priority"
+        );
+    }
+}
--- /dev/null
+++ b/crates/leaddeal/src/door.rs
@@ -0,0 +1,202 @@
+//! What users, workers and the load balancer reach.
+use crate::driver::{Event, Reply};
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::http::{header, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::Router;
+use bytes::Bytes;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use leaddeal_core::io::{UserReply, WorkerReply};
+use leaddeal_core::Input;
+use leaddeal_wire::user::{self, Job};
+use leaddeal_wire::worker::{self, Redirect, Report};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+const REPORT_BODY: usize = 256 * 1024;
+const BODY_LIMIT: Duration = Duration::from_secs(4);
+const ANSWER_LIMIT: Duration = Duration::from_millis(4200);
+const IDLE: Duration = Duration::from_secs(25);
+
+#[derive(Clone)]
+pub struct Door {
+    pub events: mpsc::Sender<Event>,
+    pub healthy: Arc<AtomicBool>,
+    pub next_req: Arc<AtomicU64>,
+}
+
+fn text(status: u16, why: &str) -> Response {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = serde_json::json!({ "error": why }).to_string();
+    (status, [(header::CONTENT_TYPE, "application/json")], body).into_response()
+}
+
+fn later(after_s: u32) -> Response {
+    let mut r = text(503, "try again later");
+    r.headers_mut().insert(header::RETRY_AFTER, after_s.into());
+    r
+}
+
+fn user_response(r: UserReply) -> Response {
+    let mut out = match r.state {
+        Some(s) => {
+            let status = StatusCode::from_u16(r.status).unwrap_or(StatusCode::OK);
+            (status, axum::Json(s)).into_response()
+        }
+        None => text(r.status, r.error.as_deref().unwrap_or("error")),
+    };
+    if let Some(s) = r.retry_after_s {
+        out.headers_mut().insert(header::RETRY_AFTER, s.into());
+    }
+    out
+}
+
+impl Door {
+    async fn ask(&self, make: impl FnOnce(u64) -> Input) -> Option<Reply> {
+        let req = self.next_req.fetch_add(1, Ordering::Relaxed);
+        let (tx, rx) = oneshot::channel();
+        // A full queue refuses at once.
+        self.events
+            .try_send(Event::Request(req, tx, make(req)))
+            .ok()?;
+        timeout(ANSWER_LIMIT, rx).await.ok()?.ok()
+    }
+
+    async fn user(&self, make: impl FnOnce(u64) -> Input) -> Response {
+        match self.ask(make).await {
+            Some(Reply::User(r)) => user_response(r),
+            _ => later(1),
+        }
+    }
+}
+
+async fn body(b: Body, most: usize) -> Option<Bytes> {
+    timeout(BODY_LIMIT, axum::body::to_bytes(b, most))
+        .await
+        .ok()?
+        .ok()
+}
+
+async fn submit(State(d): State<Door>, req: Request) -> Response {
+    let Some(bytes) = body(req.into_body(), user::MAX_BODY).await else {
+        return text(400, "the body is too large or did not come");
+    };
+    let job = Job::parse(&bytes).map(Box::new);
+    let id = match &job {
+        Ok(j) => user::parse_job_id(&j.id),
+        // A known job's retry is answered with its state, whatever else is wrong with it.
+        Err(_) => serde_json::from_slice::<serde_json::Value>(&bytes)
+            .ok()
+            .and_then(|v| user::parse_job_id(v.get("id")?.as_str()?)),
+    };
+    let id = id.map(leaddeal_core::ids::JobId);
+    d.user(|req| Input::Submit { req, id, job }).await
+}
+
+async fn status(State(d): State<Door>, Path(id): Path<String>) -> Response {
+    match user::parse_job_id(&id) {
+        Some(n) => {
+            d.user(|req| Input::Get {
+                req,
+                id: leaddeal_core::ids::JobId(n),
+            })
+            .await
+        }
+        None => text(404, "unknown job"),
+    }
+}
+
+async fn cancel(State(d): State<Door>, Path(id): Path<String>) -> Response {
+    match user::parse_job_id(&id) {
+        Some(n) => {
+            d.user(|req| Input::Cancel {
+                req,
+                id: leaddeal_core::ids::JobId(n),
+            })
+            .await
+        }
+        None => text(404, "unknown job"),
+    }
+}
+
+async fn report(State(d): State<Door>, req: Request) -> Response {
+    let Some(bytes) = body(req.into_body(), REPORT_BODY).await else {
+        return text(400, "the body is too large or did not come");
+    };
+    let report: Report = match serde_json::from_slice(&bytes) {
+        Ok(r) => r,
+        Err(e) => return text(400, &e.to_string()),
+    };
+    match d
+        .ask(|req| Input::Report {
+            req,
+            report: Box::new(report),
+        })
+        .await
+    {
+        Some(Reply::Worker(WorkerReply::Answer(a))) => axum::Json(a).into_response(),
+        Some(Reply::Worker(WorkerReply::Redirect(report_to))) => {
+            let status = StatusCode::MISDIRECTED_REQUEST;
+            (status, axum::Json(Redirect { report_to })).into_response()
+        }
+        _ => later(1),
+    }
+}
+
+async fn health(State(d): State<Door>) -> Response {
+    if d.healthy.load(Ordering::Relaxed) {
+        text(200, "")
+    } else {
+        later(1)
+    }
+}
+
+pub fn router(d: Door) -> Router {
+    Router::new()
+        .route(user::HEALTH, get(health))
+        .route(user::JOBS, post(submit))
+        .route(&format!("{}/{{id}}", user::JOBS), get(status))
+        .route(
+            &format!("{}/{{id}}/{}", user::JOBS, user::CANCEL),
+            post(cancel),
+        )
+        .route(worker::REPORT, post(report))
+        .fallback(|| async { text(404, "no such path") })
+        .method_not_allowed_fallback(|| async { text(405, "method not allowed") })
+        .with_state(d)
+}
+
+/// Serves until the process ends. Connections beyond `most` are closed at once.
+pub async fn listen(l: TcpListener, d: Door, most: usize) {
+    let app = router(d);
+    let open = Rc::new(());
+    loop {
+        let Ok((s, _)) = l.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if Rc::strong_count(&open) > most {
+            continue;
+        }
+        let _ = s.set_nodelay(true);
+        let held = open.clone();
+        let service = TowerToHyperService::new(app.clone());
+        tokio::task::spawn_local(async move {
+            let _ = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .max_buf_size(64 * 1024)
+                .serve_connection(TokioIo::new(s), service)
+                .await;
+            drop(held);
+        });
+    }
+}
--- /dev/null
+++ b/crates/leaddeal/src/driver.rs
@@ -0,0 +1,345 @@
+//! Connects the core with the world: feeds it inputs and carries out its outputs.
+use crate::client::{Client, NoAnswer};
+use crate::door::{self, Door};
+use crate::link;
+use hyper::Method;
+use leaddeal_core::io::{
+    CloudCall, CloudResult, DirectOutcome, ReqId, StoreCall, StoreResult, UserReply, WorkerReply,
+};
+use leaddeal_core::{Input, Node, Output};
+use leaddeal_wire::mesh::NodeMsg;
+use leaddeal_wire::settings::Settings;
+use leaddeal_wire::worker::{self, Direct, Report};
+use leaddeal_wire::{cloud, state};
+use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{spawn_local, LocalSet};
+
+const TICK: Duration = Duration::from_millis(100);
+const EVENTS: usize = 1000;
+const STORE_LIMIT: Duration = Duration::from_millis(2000);
+const CLOUD_LIMIT: Duration = Duration::from_secs(8);
+const DIRECT_LIMIT: Duration = Duration::from_millis(2500);
+
+pub enum Reply {
+    User(UserReply),
+    Worker(WorkerReply),
+}
+
+pub enum Event {
+    Input(Input),
+    Request(ReqId, oneshot::Sender<Reply>, Input),
+}
+
+struct World {
+    events: mpsc::Sender<Event>,
+    store: Client,
+    cloud: Client,
+    links: HashMap<String, mpsc::Sender<NodeMsg>>,
+    replies: HashMap<ReqId, oneshot::Sender<Reply>>,
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+pub async fn run(s: Settings) -> std::io::Result<()> {
+    LocalSet::new().run_until(serve(s)).await
+}
+
+async fn serve(s: Settings) -> std::io::Result<()> {
+    let start = Instant::now();
+    let boot = wall_ms();
+    let (tx, mut rx) = mpsc::channel(EVENTS);
+    let user_listener = TcpListener::bind(&s.listen).await?;
+    let peer_listener = TcpListener::bind(&s.peer_listen).await?;
+    let healthy = Arc::new(AtomicBool::new(false));
+    let door = Door {
+        events: tx.clone(),
+        healthy: healthy.clone(),
+        next_req: Arc::new(AtomicU64::new(1)),
+    };
+    let most = match s.params.limits.max_connections {
+        0 => 1000,
+        n => n.saturating_sub(100).max(n / 2),
+    };
+    spawn_local(door::listen(user_listener, door, most));
+    spawn_local(link::listen(peer_listener, tx.clone(), s.nodes()));
+    let connect = Duration::from_millis(800);
+    let mut world = World {
+        events: tx.clone(),
+        store: Client::new(&s.services.state, connect),
+        cloud: Client::new(&s.services.cloud, connect),
+        links: s
+            .peers
+            .iter()
+            .map(|p| {
+                (
+                    p.node.clone(),
+                    link::dial(s.node.clone(), p.addr.clone(), boot),
+                )
+            })
+            .collect(),
+        replies: HashMap::new(),
+    };
+    let mut core = Node::new(&s, boot, 0);
+    tracing::info!(node = %s.node, "started");
+    let now = move || start.elapsed().as_millis() as u64 + 1;
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let input = tokio::select! {
+            biased;
+            _ = tick.tick() => {
+                healthy.store(core.healthy(now()), Ordering::Relaxed);
+                // Whoever gave up waiting is not answered any more.
+                world.replies.retain(|_, r| !r.is_closed());
+                Input::Tick
+            }
+            e = rx.recv() => match e {
+                Some(Event::Input(i)) => i,
+                Some(Event::Request(req, reply, i)) => {
+                    world.replies.insert(req, reply);
+                    i
+                }
+                None => return Ok(()),
+            },
+        };
+        for o in core.step(now(), wall_ms(), input) {
+            world.act(o);
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(b: &[u8]) -> Option<T> {
+    serde_json::from_slice(b).ok()
+}
+
+impl World {
+    fn act(&mut self, o: Output) {
+        match o {
+            Output::User { req, reply } => {
+                if let Some(r) = self.replies.remove(&req) {
+                    let _ = r.send(Reply::User(reply));
+                }
+            }
+            Output::Worker { req, reply } => {
+                if let Some(r) = self.replies.remove(&req) {
+                    let _ = r.send(Reply::Worker(reply));
+                }
+            }
+            Output::Mesh { to, msg } => {
+                if let Some(l) = self.links.get(&to) {
+                    let _ = l.try_send(msg);
+                }
+            }
+            Output::Store { op, call } => {
+                let (c, events) = (self.store.clone(), self.events.clone());
+                spawn_local(async move {
+                    let result = store(&c, call).await;
+                    let _ = events.send(Event::Input(Input::Store { op, result })).await;
+                });
+            }
+            Output::Cloud { op, call } => {
+                let (c, events) = (self.cloud.clone(), self.events.clone());
+                spawn_local(async move {
+                    let result = ask_cloud(&c, call).await;
+                    let _ = events.send(Event::Input(Input::Cloud { op, result })).await;
+                });
+            }
+            Output::Orders {
+                machine,
+                addr,
+                batch,
+                direct,
+            } => {
+                let events = self.events.clone();
+                spawn_local(async move {
+                    let outcome = command(&addr, &direct).await;
+                    let input = Input::Orders {
+                        machine,
+                        batch,
+                        outcome,
+                    };
+                    let _ = events.send(Event::Input(input)).await;
+                });
+            }
+            Output::Log(level, event, what) => match level {
+                0 => tracing::error!(event, "{what}"),
+                1 => tracing::info!(event, "{what}"),
+                _ => tracing::debug!(event, "{what}"),
+            },
+        }
+    }
+}
+
+async fn command(addr: &str, direct: &Direct) -> DirectOutcome {
+    let c = Client::new(addr, Duration::from_millis(800));
+    match c
+        .call(Method::POST, worker::COMMANDS, Some(direct), DIRECT_LIMIT)
+        .await
+    {
+        Ok((status, b)) => match (status, parse::<Report>(&b)) {
+            (200, Some(r)) => DirectOutcome::Executed(Box::new(r)),
+            (409, Some(r)) => DirectOutcome::Refused(Box::new(r)),
+            _ => DirectOutcome::Unknown,
+        },
+        Err(NoAnswer::NotSent) => DirectOutcome::NotSent,
+        Err(NoAnswer::Unknown) => DirectOutcome::Unknown,
+    }
+}
+
+async fn store(c: &Client, call: StoreCall) -> StoreResult {
+    let none: Option<&()> = None;
+    let answer = match &call {
+        StoreCall::NewLease { ttl_ms } => {
+            let b = state::LeaseAsk { ttl_ms: *ttl_ms };
+            c.call(Method::POST, state::LEASES, Some(&b), STORE_LIMIT)
+                .await
+        }
+        StoreCall::Touch { lease } => {
+            let path = format!("{}/{lease}/touch", state::LEASES);
+            c.call(Method::POST, &path, none, STORE_LIMIT).await
+        }
+        StoreCall::EndLease { lease } => {
+            let path = format!("{}/{lease}", state::LEASES);
+            c.call(Method::DELETE, &path, none, STORE_LIMIT).await
+        }
+        StoreCall::Txn(t) => c.call(Method::POST, state::TXN, Some(t), STORE_LIMIT).await,
+        StoreCall::Get { key } => {
+            c.call(
+                Method::GET,
+                &format!("{}/{key}", state::KV),
+                none,
+                STORE_LIMIT,
+            )
+            .await
+        }
+        StoreCall::List { prefix, after } => {
+            let after = after
+                .as_ref()
+                .map(|a| format!("&after={a}"))
+                .unwrap_or_default();
+            let path = format!("{}?under={prefix}{after}&limit=300", state::KV);
+            c.call(Method::GET, &path, none, STORE_LIMIT).await
+        }
+        StoreCall::Watch {
+            prefix,
+            after,
+            wait_ms,
+        } => {
+            let path = format!(
+                "{}?under={prefix}&after={after}&waitMs={wait_ms}",
+                state::WATCH
+            );
+            // Watches stay open through an outage, and then wait on.
+            let limit = Duration::from_millis(*wait_ms) + Duration::from_secs(5);
+            c.call(Method::GET, &path, none, limit).await
+        }
+    };
+    let (status, body) = match answer {
+        Ok(a) => a,
+        Err(NoAnswer::NotSent) => return StoreResult::Refused,
+        Err(NoAnswer::Unknown) => return StoreResult::Unknown,
+    };
+    let known = match (&call, status) {
+        (_, 429 | 503) => Some(StoreResult::Refused),
+        (StoreCall::NewLease { .. }, 200) => {
+            parse::<state::LeaseAnswer>(&body).map(|a| StoreResult::Lease(a.lease))
+        }
+        (StoreCall::Touch { .. } | StoreCall::EndLease { .. }, 200) => Some(StoreResult::Touched),
+        (StoreCall::Touch { .. }, 404) => Some(StoreResult::NoLease),
+        (StoreCall::Txn(_), 200) => {
+            parse::<state::TxnAnswer>(&body).map(|a| StoreResult::Committed(a.revision))
+        }
+        (StoreCall::Txn(_), 409) => {
+            parse::<state::TxnAnswer>(&body).map(|a| StoreResult::Conflict(a.failed))
+        }
+        (StoreCall::Txn(t), 400) => {
+            let leased = t
+                .changes
+                .iter()
+                .any(|c| matches!(c, state::Change::Put { lease: Some(_), .. }));
+            tracing::error!(
+                event = "store_refused",
+                "{}",
+                String::from_utf8_lossy(&body)
+            );
+            Some(if leased {
+                StoreResult::NoLease
+            } else {
+                StoreResult::Refused
+            })
+        }
+        (StoreCall::Get { .. }, 200) => parse(&body).map(|i| StoreResult::Item(Some(i))),
+        (StoreCall::Get { .. }, 404) => Some(StoreResult::Item(None)),
+        (StoreCall::List { .. }, 200) => parse(&body).map(StoreResult::Page),
+        (StoreCall::Watch { .. }, 200) => parse(&body).map(StoreResult::Events),
+        (StoreCall::Watch { .. }, 410) => Some(StoreResult::TooOld),
+        _ => None,
+    };
+    known.unwrap_or_else(|| {
+        tracing::error!(event = "store_unreadable", status, "{call:?}");
+        StoreResult::Unknown
+    })
+}
+
+async fn ask_cloud(c: &Client, call: CloudCall) -> CloudResult {
+    let none: Option<&()> = None;
+    let answer = match &call {
+        CloudCall::Catalog => c.call(Method::GET, cloud::CATALOG, none, CLOUD_LIMIT).await,
+        CloudCall::Rent(r) => {
+            c.call(Method::POST, cloud::MACHINES, Some(r), CLOUD_LIMIT)
+                .await
+        }
+        CloudCall::Release(names) => {
+            let b = cloud::Names {
+                machines: names.clone(),
+            };
+            c.call(Method::POST, cloud::RELEASE, Some(&b), CLOUD_LIMIT)
+                .await
+        }
+        CloudCall::List { after } => {
+            let after = after
+                .as_ref()
+                .map(|a| format!("after={a}&"))
+                .unwrap_or_default();
+            let path = format!("{}?{after}limit=200", cloud::MACHINES);
+            c.call(Method::GET, &path, none, CLOUD_LIMIT).await
+        }
+    };
+    let (status, body) = match answer {
+        Ok(a) => a,
+        Err(NoAnswer::NotSent) => return CloudResult::Refused,
+        Err(NoAnswer::Unknown) => return CloudResult::Unknown,
+    };
+    let known = match (&call, status) {
+        (CloudCall::Catalog, 200) => parse(&body).map(CloudResult::Catalog),
+        (CloudCall::Rent(_), 200) => {
+            parse::<cloud::Names>(&body).map(|n| CloudResult::Rented(n.machines))
+        }
+        (CloudCall::Rent(_), 503) => {
+            let none = String::from_utf8_lossy(&body).contains("no capacity");
+            Some(if none {
+                CloudResult::NoCapacity
+            } else {
+                CloudResult::Refused
+            })
+        }
+        (CloudCall::Release(_), 200) => Some(CloudResult::Released),
+        (CloudCall::List { .. }, 200) => parse(&body).map(CloudResult::Listing),
+        (_, 429 | 503 | 400) => Some(CloudResult::Refused),
+        _ => None,
+    };
+    known.unwrap_or_else(|| {
+        tracing::error!(event = "cloud_unreadable", status, "{call:?}");
+        CloudResult::Unknown
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, simulator and rule checker, written from the protocol.
--- /dev/null
+++ b/crates/wire/src/mesh.rs
@@ -0,0 +1,225 @@
+//! Messages between controllers, CBOR in length-prefixed frames.
+use crate::user::{JobState, Kind, Priority};
+use crate::worker::{TaskState, Why};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+pub const MAX_FRAME: usize = 1 << 20;
+
+/// First frame on a connection. Only the newest (boot, generation) of a node is listened to, so
+/// that messages of a node arrive in the order sent, with losses but never reordered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    pub node: String,
+    pub boot: u64,
+    pub generation: u64,
+}
+
+/// What one task takes and where it may run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shape {
+    pub kind: Kind,
+    pub priority: Priority,
+    /// Thousandths of a core and of a GPU, and MB.
+    pub cpu: u64,
+    pub gpu: u64,
+    pub mem: u64,
+    pub types: Option<Vec<String>>,
+    pub spot: bool,
+    pub image: String,
+    pub image_gb: f64,
+    pub save_s: f64,
+    pub checkpoint_s: f64,
+    pub estimate_s: f64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Wanted {
+    pub job: u64,
+    pub shape: Arc<Shape>,
+    pub count: u32,
+    /// How many more tasks each zone may take, by zone number.
+    pub zone_room: Vec<u32>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Index into the request's items.
+    pub item: u16,
+    pub machine: String,
+    pub session: u64,
+    pub zone: u8,
+    pub count: u32,
+    pub cached: bool,
+    /// Higher is better among offers that do not have the image.
+    pub score: i64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pick {
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: String,
+    pub session: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Decided, start command not seen to be executed.
+    Decided,
+    On(TaskState),
+    Exited(Why, bool),
+    /// Certainly off the machine.
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TaskEvent {
+    pub job: u64,
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: String,
+    pub phase: Phase,
+}
+
+/// A named attempt on a machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AttemptRef {
+    pub job: u64,
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lack {
+    pub job: u64,
+    pub shape: Arc<Shape>,
+    pub count: u32,
+    pub zone_room: Vec<u32>,
+    pub waited_ms: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineInfo {
+    pub machine: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    /// How long it has had nothing to do; none: busy.
+    pub idle_ms: Option<u64>,
+    /// Not heard from for long, or known to be broken: worth nothing.
+    pub dead: bool,
+    /// Set aside for its return.
+    pub draining: bool,
+}
+
+/// What goes between two seats. Every message names the epochs of both ends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum SeatMsg {
+    /// Coordinator to participant.
+    Request {
+        negotiation: u64,
+        items: Vec<Wanted>,
+    },
+    /// The negotiation is over: its holds end. Winners were named by `Place` before.
+    Close {
+        negotiation: u64,
+    },
+    Place {
+        job: u64,
+        shape: Arc<Shape>,
+        picks: Vec<Pick>,
+    },
+    Stop {
+        what: AttemptRef,
+        grace_s: f64,
+    },
+    Forget {
+        what: AttemptRef,
+    },
+    /// Participant to coordinator.
+    Offers {
+        negotiation: u64,
+        offers: Vec<Offer>,
+    },
+    AskDecision {
+        negotiation: u64,
+    },
+    Events {
+        events: Vec<TaskEvent>,
+    },
+    /// Coordinator to the team's seat, and back.
+    TeamUsage {
+        usage: Vec<(String, u64, u64)>,
+    },
+    TeamAsk {
+        negotiation: u64,
+        asks: Vec<(String, u64, u64)>,
+    },
+    TeamGrant {
+        negotiation: u64,
+        granted: Vec<(String, u64, u64)>,
+    },
+    /// Coordinator and participant to the buyer's seat, and back.
+    Lacks {
+        lacks: Vec<Lack>,
+    },
+    Machines {
+        machines: Vec<MachineInfo>,
+    },
+    Drain {
+        machine: String,
+    },
+    Drained {
+        machine: String,
+    },
+    Undrain {
+        machine: String,
+    },
+    Released {
+        machine: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum NodeMsg {
+    Beat {
+        state_ok: bool,
+    },
+    Seat {
+        from: u8,
+        from_epoch: u64,
+        to: u8,
+        to_epoch: u64,
+        msg: SeatMsg,
+    },
+    /// Asks the owner of a job's seat.
+    Ask {
+        call: u64,
+        job: u64,
+        cancel: bool,
+    },
+    Told {
+        call: u64,
+        answer: Told,
+    },
+    /// The sender, at home on this seat, is ready to have it back.
+    WantSeat {
+        seat: u8,
+    },
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Told {
+    State(JobState),
+    NotMine,
+    Unknown,
+    Later,
+}
+
+impl PartialEq for Told {
+    fn eq(&self, o: &Told) -> bool {
+        std::mem::discriminant(self) == std::mem::discriminant(o)
+    }
+}
