--- a/crates/core/src/bits.rs
+++ b/crates/core/src/bits.rs
@@ -13,9 +13,7 @@
 
 impl Bits {
     pub fn get(&self, i: u32) -> bool {
-        self.words
-            .get(i as usize / 64)
-            .is_some_and(|w| w & (1 << (i % 64)) != 0)
+        self.words.get(i as usize / 64).is_some_and(|w| w & (1 << (i % 64)) != 0)
     }
 
     /// True if the bit was not set before.
@@ -43,10 +41,7 @@
         let words = CHUNK as usize / 64;
         let lo = (chunk as usize * words).min(self.words.len());
         let hi = (lo + words).min(self.words.len());
-        let mut bytes: Vec<u8> = self.words[lo..hi]
-            .iter()
-            .flat_map(|w| w.to_le_bytes())
-            .collect();
+        let mut bytes: Vec<u8> = self.words[lo..hi].iter().flat_map(|w| w.to_le_bytes()).collect();
         while bytes.last() == Some(&0) {
             bytes.pop();
         }
--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -5,6 +5,7 @@
 use crate::node::{Ctx, OpKind};
 use leaddeal_wire::cloud::{Listed, ListedStatus, Rent};
 use leaddeal_wire::mesh::{Lack, MachineInfo, SeatMsg};
+use leaddeal_wire::user::Priority;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The seat whose owner buys for all.
@@ -177,6 +178,7 @@
                             self.booting.insert(n, b);
                         }
                         self.asked = None;
+                        self.plan_at = now;
                     }
                     CloudResult::NoCapacity => {
                         let rent = a.rent.clone();
@@ -213,17 +215,11 @@
     }
 
     fn refuse(&mut self, now: Now, r: &Rent) {
-        self.refused.insert(
-            (r.type_name.clone(), r.zone.clone(), r.spot),
-            now + REFUSED_MS,
-        );
+        self.refused.insert((r.type_name.clone(), r.zone.clone(), r.spot), now + REFUSED_MS);
     }
 
     fn reporting(&self) -> BTreeSet<&str> {
-        self.parts
-            .values()
-            .flat_map(|p| p.1.iter().map(|m| m.machine.as_str()))
-            .collect()
+        self.parts.values().flat_map(|p| p.1.iter().map(|m| m.machine.as_str())).collect()
     }
 
     fn check_list(&mut self, ctx: &mut Ctx) {
@@ -276,11 +272,7 @@
         self.to_release.extend(release);
         if self.base.is_none() && !self.base_asked {
             self.base_asked = true;
-            let newest = self
-                .listed
-                .keys()
-                .max_by_key(|k| (k.len(), (*k).clone()))
-                .cloned();
+            let newest = self.listed.keys().max_by_key(|k| (k.len(), (*k).clone())).cloned();
             ctx.find_base(newest.unwrap_or_default());
         }
     }
@@ -293,10 +285,7 @@
         if !self.list_in_flight && now >= self.list_at {
             self.list_in_flight = true;
             self.list_at = now + LIST_MS;
-            ctx.cloud(
-                OpKind::Buyer(self.epoch, BuyerOp::List),
-                CloudCall::List { after: None },
-            );
+            ctx.cloud(OpKind::Buyer(self.epoch, BuyerOp::List), CloudCall::List { after: None });
         }
         if now >= self.prices_at {
             self.prices_at = now + 60_000;
@@ -306,10 +295,7 @@
             if !a.in_flight && now >= a.retry_at {
                 a.in_flight = true;
                 let rent = a.rent.clone();
-                ctx.cloud(
-                    OpKind::Buyer(self.epoch, BuyerOp::Rent),
-                    CloudCall::Rent(rent),
-                );
+                ctx.cloud(OpKind::Buyer(self.epoch, BuyerOp::Rent), CloudCall::Rent(rent));
             }
         }
         if self.releasing.is_empty() && !self.to_release.is_empty() && now >= self.release_retry {
@@ -318,10 +304,7 @@
                 self.to_release.remove(n);
             }
             self.releasing.clone_from(&names);
-            ctx.cloud(
-                OpKind::Buyer(self.epoch, BuyerOp::Release),
-                CloudCall::Release(names),
-            );
+            ctx.cloud(OpKind::Buyer(self.epoch, BuyerOp::Release), CloudCall::Release(names));
         }
         if now >= self.plan_at {
             self.plan_at = now + PLAN_MS;
@@ -353,19 +336,11 @@
             .filter_map(|b| Some((type_room(ctx.names, &b.type_name)?, b.clone())))
             .collect();
         let mut lacks: Vec<Lack> = self.lacks.values().flat_map(|l| l.1.iter().cloned()).collect();
-        lacks.sort_by_key(|l| {
-            (
-                std::cmp::Reverse(l.shape.priority),
-                std::cmp::Reverse(l.waited_ms),
-            )
-        });
+        lacks
+            .sort_by_key(|l| (std::cmp::Reverse(l.shape.priority), std::cmp::Reverse(l.waited_ms)));
         for l in lacks {
             let mut left = u64::from(l.count);
-            let need = Room {
-                cpu: l.shape.cpu,
-                gpu: l.shape.gpu,
-                mem: l.shape.mem,
-            };
+            let need = Room { cpu: l.shape.cpu, gpu: l.shape.gpu, mem: l.shape.mem };
             for (room, b) in &mut coming {
                 let Some(t) = ctx.names.type_idx(&b.type_name) else {
                     continue;
@@ -373,14 +348,8 @@
                 if left == 0 || !ctx.names.allows(&l.shape, t, b.spot) {
                     continue;
                 }
-                let zr = ctx
-                    .names
-                    .zone(&b.zone)
-                    .and_then(|z| l.zone_room.get(z.0 as usize));
-                let n = room
-                    .fits(need)
-                    .min(left)
-                    .min(u64::from(zr.copied().unwrap_or(0)));
+                let zr = ctx.names.zone(&b.zone).and_then(|z| l.zone_room.get(z.0 as usize));
+                let n = room.fits(need).min(left).min(u64::from(zr.copied().unwrap_or(0)));
                 room.sub(need, n);
                 left -= n;
             }
@@ -388,12 +357,7 @@
                 continue;
             }
             if let Some(rent) = self.choose(ctx, &l, need, left) {
-                self.asked = Some(Asked {
-                    rent,
-                    unsure: false,
-                    retry_at: now,
-                    in_flight: false,
-                });
+                self.asked = Some(Asked { rent, unsure: false, retry_at: now, in_flight: false });
                 return;
             }
         }
@@ -402,6 +366,26 @@
     /// The cheapest way to get room for `left` tasks.
     fn choose(&mut self, ctx: &Ctx, l: &Lack, need: Room, left: u64) -> Option<Rent> {
         let mut best: Option<(f64, Rent)> = None;
+        // What one task's place costs at best, whether it can be had now or not. Work that can
+        // wait does not pay many times as much.
+        let fair = ctx
+            .names
+            .catalog
+            .iter()
+            .enumerate()
+            .filter_map(|(i, t)| {
+                let idx = crate::ids::TypeIdx(i as u8);
+                let fits = ctx.names.room_of_type(idx).fits(need);
+                let ok = fits > 0 && ctx.names.allows(&l.shape, idx, false);
+                ok.then_some(t.price / fits as f64)
+            })
+            .fold(f64::INFINITY, f64::min);
+        let patience = match l.shape.priority {
+            Priority::Low => 1.5,
+            Priority::Normal => 2.0,
+            Priority::High => 3.0,
+            Priority::Production => 8.0,
+        };
         for (i, t) in ctx.names.catalog.iter().enumerate() {
             let idx = crate::ids::TypeIdx(i as u8);
             let fits = ctx.names.room_of_type(idx).fits(need);
@@ -409,24 +393,21 @@
                 continue;
             }
             for z in &t.zones {
-                let room = ctx
-                    .names
-                    .zone(z)
-                    .and_then(|z| l.zone_room.get(z.0 as usize))
-                    .copied();
+                let room = ctx.names.zone(z).and_then(|z| l.zone_room.get(z.0 as usize)).copied();
                 let room = u64::from(room.unwrap_or(0)).min(left);
                 if room == 0 {
                     continue;
                 }
                 for spot in [false, true] {
                     if !ctx.names.allows(&l.shape, idx, spot)
-                        || self
-                            .refused
-                            .contains_key(&(t.name.clone(), z.clone(), spot))
+                        || self.refused.contains_key(&(t.name.clone(), z.clone(), spot))
                     {
                         continue;
                     }
                     let price = if spot { t.spot_price * 1.15 } else { t.price };
+                    if price / fits as f64 > fair * patience {
+                        continue;
+                    }
                     let used = fits.min(room);
                     let cost = price / used as f64;
                     if best.as_ref().is_none_or(|b| cost < b.0) {
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -118,14 +118,7 @@
 }
 
 pub fn final_value(status: Status, done: u32) -> Value {
-    json!([
-        if status == Status::Done {
-            "done"
-        } else {
-            "cancelled"
-        },
-        done
-    ])
+    json!([if status == Status::Done { "done" } else { "cancelled" }, done])
 }
 
 pub fn parse_final(v: &Value) -> Option<(Status, u32)> {
@@ -138,12 +131,7 @@
 }
 
 pub fn job_state(id: JobId, f: (Status, u32)) -> JobState {
-    JobState {
-        id: user::job_id(id.0),
-        status: f.0,
-        done: f.1,
-        running: 0,
-    }
+    JobState { id: user::job_id(id.0), status: f.0, done: f.1, running: 0 }
 }
 
 impl Coordinator {
@@ -187,10 +175,7 @@
     }
 
     fn mine(&self) -> Cond {
-        Cond {
-            key: seat_key(self.seat),
-            version: self.epoch.0,
-        }
+        Cond { key: seat_key(self.seat), version: self.epoch.0 }
     }
 
     // ---- loading -------------------------------------------------------------------------
@@ -207,14 +192,8 @@
         };
         self.loading = true;
         ctx.store(
-            OpKind::Load {
-                seat: self.seat,
-                epoch: self.epoch,
-            },
-            StoreCall::List {
-                prefix,
-                after: self.after.clone(),
-            },
+            OpKind::Load { seat: self.seat, epoch: self.epoch },
+            StoreCall::List { prefix, after: self.after.clone() },
         );
     }
 
@@ -227,11 +206,7 @@
         if matches!(self.load, Load::Jobs) && self.after.is_none() {
             self.watch_from = page.revision;
         }
-        self.after = page
-            .items
-            .last()
-            .map(|i| i.key.clone())
-            .filter(|_| page.more);
+        self.after = page.items.last().map(|i| i.key.clone()).filter(|_| page.more);
         for item in page.items {
             match self.load {
                 Load::Decisions => self.decisions.push(item),
@@ -250,20 +225,14 @@
                 self.take_decisions(ctx);
                 ctx.wake = true;
                 let (s, n) = (self.seat.0, self.jobs.len());
-                ctx.out
-                    .log(1, "seat_loaded", || format!("seat={s} jobs={n}"));
+                ctx.out.log(1, "seat_loaded", || format!("seat={s} jobs={n}"));
             }
         }
         self.load_step(ctx);
     }
 
     pub fn job_created(&mut self, ctx: &mut Ctx, key: &str, value: &Value) {
-        let Some(id) = key
-            .rsplit('/')
-            .next()
-            .and_then(|s| s.parse().ok())
-            .map(JobId)
-        else {
+        let Some(id) = key.rsplit('/').next().and_then(|s| s.parse().ok()).map(JobId) else {
             return;
         };
         if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
@@ -274,12 +243,9 @@
             ctx.out.log(0, "job_unreadable", || k);
             return;
         };
-        let age = ctx
-            .time_ms
-            .saturating_sub(value["at"].as_u64().unwrap_or(ctx.time_ms));
+        let age = ctx.time_ms.saturating_sub(value["at"].as_u64().unwrap_or(ctx.time_ms));
         let shape = ctx.names.shape(&Arc::new(wire_shape(&wire)));
-        self.jobs
-            .insert(id, Job::new(id, wire, shape, ctx.now.saturating_sub(age)));
+        self.jobs.insert(id, Job::new(id, wire, shape, ctx.now.saturating_sub(age)));
         ctx.wake = true;
     }
 
@@ -306,21 +272,14 @@
             self.rounds.insert(round, (item.key.clone(), 0));
             let empty = Vec::new();
             for p in item.value["p"].as_array().unwrap_or(&empty) {
-                let (Some(job), Some(task), Some(machine), Some(session), Some(zone)) = (
-                    p[0].as_u64(),
-                    p[1].as_u64(),
-                    p[2].as_str(),
-                    p[3].as_u64(),
-                    p[4].as_u64(),
-                ) else {
+                let (Some(job), Some(task), Some(machine), Some(session), Some(zone)) =
+                    (p[0].as_u64(), p[1].as_u64(), p[2].as_str(), p[3].as_u64(), p[4].as_u64())
+                else {
                     continue;
                 };
                 let (id, task) = (JobId(job), task as u32);
                 let machine = ctx.names.machine(machine);
-                let j = self
-                    .jobs
-                    .entry(id)
-                    .or_insert_with(|| Job::leftover(id, ctx.names));
+                let j = self.jobs.entry(id).or_insert_with(|| Job::leftover(id, ctx.names));
                 if j.done.get(task) || j.placed.get(&task).is_some_and(|o| o.attempt > attempt) {
                     continue;
                 }
@@ -405,6 +364,7 @@
         }
         let mut items = Vec::new();
         let mut wanted = Vec::new();
+        let mut turns = Vec::new();
         let most = ctx.cfg.max_picks as u32;
         let mut total = 0;
         for id in ids {
@@ -422,11 +382,13 @@
             }
             total += count;
             items.push((id, count));
+            turns.push(j.make_room.filter(|_| j.wire.priority > user::Priority::Low));
             wanted.push(Wanted {
                 job: id.0,
                 shape: j.shape.wire.clone(),
                 count,
                 zone_room,
+                make_room: false,
             });
         }
         if items.is_empty() {
@@ -437,10 +399,13 @@
         // A seat known to be vacant is not waited for.
         let asked: Vec<Seat> = ctx.seats().filter(|s| ctx.reachable(*s)).collect();
         for &s in &asked {
-            let msg = SeatMsg::Request {
-                negotiation: id.0,
-                items: wanted.clone(),
-            };
+            // Room is made by one part at a time, so that three do not stop thrice as much.
+            let mut items = wanted.clone();
+            for (w, turn) in items.iter_mut().zip(&turns) {
+                w.make_room =
+                    turn.is_some_and(|t| t as usize % ctx.seats().count() == s.0 as usize);
+            }
+            let msg = SeatMsg::Request { negotiation: id.0, items };
             ctx.send(self.seat, s, msg);
         }
         self.talk = Some(Talk {
@@ -475,10 +440,8 @@
                 continue;
             }
             let mut room = j.zone_room(&ctx.names.zones);
-            let mut mine: Vec<&mut (Seat, Offer)> = offers
-                .iter_mut()
-                .filter(|o| o.1.item as usize == i && o.1.count > 0)
-                .collect();
+            let mut mine: Vec<&mut (Seat, Offer)> =
+                offers.iter_mut().filter(|o| o.1.item as usize == i && o.1.count > 0).collect();
             mine.sort_by_key(|o| (!o.1.cached, -o.1.score));
             let want = count.min(j.pending());
             if j.wire.one_zone {
@@ -498,11 +461,7 @@
             }
             let mut picks: Vec<(Seat, Offer)> = Vec::new();
             // Replicas of a service go to different machines where they can.
-            let each = if j.wire.kind == Kind::Service {
-                1
-            } else {
-                u32::MAX
-            };
+            let each = if j.wire.kind == Kind::Service { 1 } else { u32::MAX };
             let mut progress = true;
             while progress && (picks.len() as u32) < want {
                 progress = false;
@@ -522,18 +481,17 @@
             let whole = j.wire.kind != Kind::Gang || picks.len() as u32 == j.pending();
             if picks.is_empty() || !whole {
                 j.refusals += 1;
-                j.not_before = now + if j.refusals < 4 { 400 } else { 900 };
+                let urgent = j.wire.priority > user::Priority::Low && j.refusals < 12;
+                j.make_room = Some(j.make_room.map_or(0, |t| t + 1));
+                j.not_before = now + if urgent { 150 } else { 900 };
                 continue;
             }
             j.refusals = 0;
+            let short = (picks.len() as u32) < want;
+            j.make_room = short.then(|| j.make_room.map_or(0, |t| t + 1));
             for (seat, offer) in picks {
                 let Some(task) = j.take() else { break };
-                choices.push(Choice {
-                    job: id,
-                    task,
-                    seat,
-                    offer,
-                });
+                choices.push(Choice { job: id, task, seat, offer });
             }
         }
         if choices.is_empty() {
@@ -545,24 +503,10 @@
         let key = format!("{}{}-{}", decision_prefix(self.seat), self.epoch.0, round);
         let picks: Vec<Value> = choices
             .iter()
-            .map(|c| {
-                json!([
-                    c.job.0,
-                    c.task,
-                    c.offer.machine,
-                    c.offer.session,
-                    c.offer.zone
-                ])
-            })
+            .map(|c| json!([c.job.0, c.task, c.offer.machine, c.offer.session, c.offer.zone]))
             .collect();
         let txn = Txn {
-            conds: vec![
-                self.mine(),
-                Cond {
-                    key: key.clone(),
-                    version: 0,
-                },
-            ],
+            conds: vec![self.mine(), Cond { key: key.clone(), version: 0 }],
             changes: vec![Change::Put {
                 key: key.clone(),
                 value: json!({"a": attempt.0, "p": picks}),
@@ -590,10 +534,7 @@
         }
         w.retry_at = None;
         ctx.budget.force(1);
-        let kind = OpKind::Decide {
-            seat: self.seat,
-            epoch: self.epoch,
-        };
+        let kind = OpKind::Decide { seat: self.seat, epoch: self.epoch };
         ctx.store(kind, StoreCall::Txn(w.txn.clone()));
     }
 
@@ -654,9 +595,7 @@
             if let Some(r) = self.rounds.get_mut(&w.round) {
                 r.1 += 1;
             }
-            let e = yes
-                .entry((c.seat, c.job))
-                .or_insert((j.shape.wire.clone(), Vec::new()));
+            let e = yes.entry((c.seat, c.job)).or_insert((j.shape.wire.clone(), Vec::new()));
             e.1.push(Pick {
                 task: c.task,
                 attempt: w.attempt.0,
@@ -669,15 +608,7 @@
             self.finished_rounds.push(w.key);
         }
         for ((seat, job), (shape, picks)) in yes {
-            ctx.send(
-                self.seat,
-                seat,
-                SeatMsg::Place {
-                    job: job.0,
-                    shape,
-                    picks,
-                },
-            );
+            ctx.send(self.seat, seat, SeatMsg::Place { job: job.0, shape, picks });
         }
         self.close(ctx, w.negotiation, &w.asked);
         ctx.wake = true;
@@ -704,10 +635,7 @@
 
     pub fn handle(&mut self, ctx: &mut Ctx, from: Seat, msg: SeatMsg) {
         match msg {
-            SeatMsg::Offers {
-                negotiation,
-                offers,
-            } => {
+            SeatMsg::Offers { negotiation, offers } => {
                 let current = self
                     .talk
                     .as_mut()
@@ -733,10 +661,7 @@
 
     fn answer_decision(&mut self, ctx: &mut Ctx, from: Seat, negotiation: u64) {
         let open = self.talk.as_ref().is_some_and(|t| t.id.0 == negotiation)
-            || self
-                .writing
-                .as_ref()
-                .is_some_and(|w| w.negotiation.0 == negotiation);
+            || self.writing.as_ref().is_some_and(|w| w.negotiation.0 == negotiation);
         if !open {
             ctx.send(self.seat, from, SeatMsg::Close { negotiation });
         }
@@ -745,31 +670,22 @@
     fn event(&mut self, ctx: &mut Ctx, from: Seat, e: TaskEvent) {
         let now = ctx.now;
         let id = JobId(e.job);
-        let what = AttemptRef {
-            job: e.job,
-            task: e.task,
-            attempt: e.attempt,
-            machine: e.machine.clone(),
-        };
+        let what =
+            AttemptRef { job: e.job, task: e.task, attempt: e.attempt, machine: e.machine.clone() };
         let over = matches!(e.phase, Phase::Exited(..) | Phase::Gone);
-        let known = self
-            .jobs
-            .get(&id)
-            .and_then(|j| j.placed.get(&e.task))
-            .is_some_and(|p| {
-                p.attempt.0 == e.attempt && ctx.names.machine_name(p.machine) == e.machine
-            });
+        let known = self.jobs.get(&id).and_then(|j| j.placed.get(&e.task)).is_some_and(|p| {
+            p.attempt.0 == e.attempt && ctx.names.machine_name(p.machine) == e.machine
+        });
         if !known {
             // Already noted as done, but not durably yet: the worker must not forget it.
-            let unfolded = self.jobs.get(&id).is_some_and(|j| {
-                j.unfolded
-                    .iter()
-                    .any(|u| u.0 == e.task && u.1 .0 == e.attempt)
-            }) || self.fold.as_ref().is_some_and(|f| {
-                f.acks.iter().any(|(j, l)| {
-                    *j == id && l.iter().any(|u| u.0 == e.task && u.1 .0 == e.attempt)
-                })
-            });
+            let unfolded =
+                self.jobs.get(&id).is_some_and(|j| {
+                    j.unfolded.iter().any(|u| u.0 == e.task && u.1 .0 == e.attempt)
+                }) || self.fold.as_ref().is_some_and(|f| {
+                    f.acks.iter().any(|(j, l)| {
+                        *j == id && l.iter().any(|u| u.0 == e.task && u.1 .0 == e.attempt)
+                    })
+                });
             if over {
                 if !unfolded {
                     ctx.send(self.seat, from, SeatMsg::Forget { what });
@@ -786,6 +702,15 @@
             if let Some(p) = j.placed.get_mut(&e.task) {
                 p.phase = e.phase;
             }
+            // A gang that is to save must be stopped whole, and soon.
+            if e.phase == Phase::On(TaskState::Saving) && j.wire.kind == Kind::Gang {
+                let grace = j.wire.save_s + 2.0;
+                for p in j.placed.values_mut().filter(|p| p.stop.is_none()) {
+                    p.stop = Some((grace, 0));
+                }
+                self.next_resend = now;
+                self.resend(ctx);
+            }
             return;
         }
         let Some(p) = j.placed.remove(&e.task) else {
@@ -887,15 +812,11 @@
                 value: final_value(status, j.done.len()),
                 lease: None,
             },
-            Change::Delete {
-                key: job_key(self.seat, id),
-            },
+            Change::Delete { key: job_key(self.seat, id) },
         ];
         if !j.done.is_empty() {
             for c in 0..j.wire.tasks.div_ceil(CHUNK) {
-                v.push(Change::Delete {
-                    key: run_key(self.seat, id, c),
-                });
+                v.push(Change::Delete { key: run_key(self.seat, id, c) });
             }
         }
         v
@@ -904,18 +825,8 @@
     fn write_final(&mut self, ctx: &mut Ctx, id: JobId, status: Status) {
         let changes = self.final_changes(id, status);
         ctx.budget.force(changes.len());
-        let kind = OpKind::Finish {
-            seat: self.seat,
-            epoch: self.epoch,
-            job: id,
-        };
-        ctx.store(
-            kind,
-            StoreCall::Txn(Txn {
-                conds: vec![self.mine()],
-                changes,
-            }),
-        );
+        let kind = OpKind::Finish { seat: self.seat, epoch: self.epoch, job: id };
+        ctx.store(kind, StoreCall::Txn(Txn { conds: vec![self.mine()], changes }));
     }
 
     /// Outcome of writing a cancellation. False: the seat is lost.
@@ -972,12 +883,7 @@
             self.round_less(round);
             let machine = ctx.names.machine_name(m).to_string();
             let seat = ctx.seat_of_machine(&machine);
-            let what = AttemptRef {
-                job: id.0,
-                task,
-                attempt: attempt.0,
-                machine,
-            };
+            let what = AttemptRef { job: id.0, task, attempt: attempt.0, machine };
             ctx.send(self.seat, seat, SeatMsg::Forget { what });
         }
     }
@@ -988,12 +894,8 @@
             return;
         }
         let most = ctx.cfg.txn_ops.min(ctx.budget.available());
-        let mut f = Fold {
-            chunks: Vec::new(),
-            acks: Vec::new(),
-            finals: Vec::new(),
-            rounds: Vec::new(),
-        };
+        let mut f =
+            Fold { chunks: Vec::new(), acks: Vec::new(), finals: Vec::new(), rounds: Vec::new() };
         let mut changes: Vec<Change> = Vec::new();
         let mut bytes = 0;
         let full = |c: &Vec<Change>, b: usize, n: usize| c.len() + n > most || b > 40_000;
@@ -1028,11 +930,7 @@
                 let text = j.done.encode_chunk(c);
                 bytes += text.len();
                 let key = run_key(seat, j.id, c);
-                changes.push(Change::Put {
-                    key,
-                    value: Value::String(text),
-                    lease: None,
-                });
+                changes.push(Change::Put { key, value: Value::String(text), lease: None });
             }
             f.chunks.push((j.id, chunks));
             f.acks.push((j.id, std::mem::take(&mut j.unfolded)));
@@ -1055,17 +953,8 @@
         self.fold_after = ctx.now + if f.finals.is_empty() { 1200 } else { FOLD_MS };
         ctx.budget.force(changes.len());
         self.fold = Some(f);
-        let kind = OpKind::Fold {
-            seat: self.seat,
-            epoch: self.epoch,
-        };
-        ctx.store(
-            kind,
-            StoreCall::Txn(Txn {
-                conds: vec![self.mine()],
-                changes,
-            }),
-        );
+        let kind = OpKind::Fold { seat: self.seat, epoch: self.epoch };
+        ctx.store(kind, StoreCall::Txn(Txn { conds: vec![self.mine()], changes }));
     }
 
     /// False: the seat is lost.
@@ -1136,19 +1025,8 @@
                     if renew || now >= *sent + RESEND_MS {
                         *sent = now;
                         let machine = machine.to_string();
-                        let what = AttemptRef {
-                            job: id.0,
-                            task,
-                            attempt,
-                            machine,
-                        };
-                        stops.push((
-                            seat,
-                            SeatMsg::Stop {
-                                what,
-                                grace_s: *grace_s,
-                            },
-                        ));
+                        let what = AttemptRef { job: id.0, task, attempt, machine };
+                        stops.push((seat, SeatMsg::Stop { what, grace_s: *grace_s }));
                     }
                     continue;
                 }
@@ -1158,9 +1036,8 @@
                 }
                 if renew || (p.phase == Phase::Decided && now >= p.sent_at + RESEND_MS) {
                     p.sent_at = now;
-                    let e = yes
-                        .entry((seat, id))
-                        .or_insert_with(|| (j.shape.wire.clone(), Vec::new()));
+                    let e =
+                        yes.entry((seat, id)).or_insert_with(|| (j.shape.wire.clone(), Vec::new()));
                     e.1.push(Pick {
                         task,
                         attempt,
@@ -1176,11 +1053,7 @@
                 ctx.send(
                     self.seat,
                     seat,
-                    SeatMsg::Place {
-                        job: job.0,
-                        shape: shape.clone(),
-                        picks,
-                    },
+                    SeatMsg::Place { job: job.0, shape: shape.clone(), picks },
                 );
             }
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -118,11 +118,7 @@
 
     /// The moment from which the worker's lease is surely over, unless it is renewed.
     pub fn lease_over_at(&self, lease_ms: u64) -> Now {
-        let granted = if self.confirmed {
-            self.granted
-        } else {
-            self.granted + at_least(GRACE_MS)
-        };
+        let granted = if self.confirmed { self.granted } else { self.granted + at_least(GRACE_MS) };
         granted + at_least(lease_ms)
     }
 
@@ -208,8 +204,7 @@
 
     /// Drops what the coordinator has noted and the worker has forgotten.
     pub fn sweep(&mut self) {
-        self.tasks
-            .retain(|_, t| !(t.acked && t.over() && !t.listed && !t.risky));
+        self.tasks.retain(|_, t| !(t.acked && t.over() && !t.listed && !t.risky));
     }
 
     /// Everything on it is gone: its lease is over, or it was released.
@@ -287,21 +282,11 @@
             match (t.phase, t.stop) {
                 (Phase::Decided, None) if t.session == session && !t.risky && !t.answered => {
                     t.direct = Some(batch);
-                    v.push(Order {
-                        op: Op::Start,
-                        task: name(),
-                        attempt: k.2 .0,
-                        grace_s: None,
-                    });
+                    v.push(Order { op: Op::Start, task: name(), attempt: k.2 .0, grace_s: None });
                 }
                 (Phase::On(s), Some(w)) if s != TaskState::Saving || w.grace_s == 0.0 => {
                     let grace_s = Some(w.grace_s);
-                    v.push(Order {
-                        op: Op::Stop,
-                        task: name(),
-                        attempt: k.2 .0,
-                        grace_s,
-                    });
+                    v.push(Order { op: Op::Stop, task: name(), attempt: k.2 .0, grace_s });
                 }
                 _ => {}
             }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -60,9 +60,9 @@
     // Machines are named in order: going round shares them out evenly.
     let n = match digits.parse::<u64>() {
         Ok(n) => n,
-        Err(_) => mix(name.bytes().fold(7u64, |h, b| {
-            h.wrapping_mul(31).wrapping_add(u64::from(b) + 1)
-        })),
+        Err(_) => {
+            mix(name.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b) + 1)))
+        }
     };
     Seat((n % seats as u64) as u8)
 }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -94,28 +94,13 @@
 
 #[derive(Debug)]
 pub enum StoreCall {
-    NewLease {
-        ttl_ms: u64,
-    },
-    Touch {
-        lease: u64,
-    },
-    EndLease {
-        lease: u64,
-    },
+    NewLease { ttl_ms: u64 },
+    Touch { lease: u64 },
+    EndLease { lease: u64 },
     Txn(Txn),
-    Get {
-        key: String,
-    },
-    List {
-        prefix: String,
-        after: Option<String>,
-    },
-    Watch {
-        prefix: String,
-        after: u64,
-        wait_ms: u64,
-    },
+    Get { key: String },
+    List { prefix: String, after: Option<String> },
+    Watch { prefix: String, after: u64, wait_ms: u64 },
 }
 
 #[derive(Debug)]
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -36,6 +36,8 @@
     /// Not asked for before this time.
     pub not_before: Now,
     pub refusals: u32,
+    /// Whose turn it is to make room by preemption; none: nobody was short of it.
+    pub make_room: Option<u32>,
     /// Failures in a row without a completion in between.
     pub errors: u32,
     /// Durable and told: no task of it may start any more.
@@ -79,6 +81,7 @@
             placed: BTreeMap::new(),
             not_before: 0,
             refusals: 0,
+            make_room: None,
             errors: 0,
             cancelled: false,
             dirty: BTreeSet::new(),
@@ -169,12 +172,7 @@
             (false, 0) => Status::Queued,
             (false, _) => Status::Running,
         };
-        JobState {
-            id: user::job_id(self.id.0),
-            status,
-            done: self.done.len(),
-            running,
-        }
+        JobState { id: user::job_id(self.id.0), status, done: self.done.len(), running }
     }
 
     /// How many more tasks each zone may take, given those that may still be in one.
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -56,9 +56,7 @@
     /// How many times `o` fits in.
     pub fn fits(&self, o: Room) -> u64 {
         let f = |a: u64, b: u64| a.checked_div(b).unwrap_or(u64::MAX);
-        f(self.cpu, o.cpu)
-            .min(f(self.gpu, o.gpu))
-            .min(f(self.mem, o.mem))
+        f(self.cpu, o.cpu).min(f(self.gpu, o.gpu)).min(f(self.mem, o.mem))
     }
 }
 
@@ -92,17 +90,11 @@
     }
 
     pub fn zone(&self, s: &str) -> Option<ZoneIdx> {
-        self.zones
-            .iter()
-            .position(|z| z == s)
-            .map(|i| ZoneIdx(i as u8))
+        self.zones.iter().position(|z| z == s).map(|i| ZoneIdx(i as u8))
     }
 
     pub fn type_idx(&self, s: &str) -> Option<TypeIdx> {
-        self.catalog
-            .iter()
-            .position(|t| t.name == s)
-            .map(|i| TypeIdx(i as u8))
+        self.catalog.iter().position(|t| t.name == s).map(|i| TypeIdx(i as u8))
     }
 
     pub fn set_catalog(&mut self, c: Catalog) {
@@ -128,11 +120,7 @@
 
     pub fn shape(&mut self, wire: &Arc<mesh::Shape>) -> Shape {
         Shape {
-            need: Room {
-                cpu: wire.cpu,
-                gpu: wire.gpu,
-                mem: wire.mem,
-            },
+            need: Room { cpu: wire.cpu, gpu: wire.gpu, mem: wire.mem },
             image: ImageIdx(self.images.intern(&wire.image)),
             wire: wire.clone(),
         }
@@ -144,9 +132,6 @@
             return false;
         }
         let name = &self.catalog[t.0 as usize].name;
-        shape
-            .types
-            .as_ref()
-            .is_none_or(|l| l.iter().any(|x| x == name))
+        shape.types.as_ref().is_none_or(|l| l.iter().any(|x| x == name))
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -78,49 +78,19 @@
 #[derive(Debug)]
 pub enum OpKind {
     NewLease,
-    Touch {
-        sent: Now,
-    },
+    Touch { sent: Now },
     Seats,
     SeatWatch,
     Acquire(Seat),
     Release(Seat, Epoch),
-    Load {
-        seat: Seat,
-        epoch: Epoch,
-    },
-    JobWatch {
-        seat: Seat,
-        epoch: Epoch,
-    },
-    Decide {
-        seat: Seat,
-        epoch: Epoch,
-    },
-    Fold {
-        seat: Seat,
-        epoch: Epoch,
-    },
-    Finish {
-        seat: Seat,
-        epoch: Epoch,
-        job: JobId,
-    },
-    Submit {
-        req: ReqId,
-        id: JobId,
-        value: serde_json::Value,
-    },
-    ReadJob {
-        req: ReqId,
-        id: JobId,
-        ask: AskKind,
-    },
-    ReadFinal {
-        req: ReqId,
-        id: JobId,
-        ask: AskKind,
-    },
+    Load { seat: Seat, epoch: Epoch },
+    JobWatch { seat: Seat, epoch: Epoch },
+    Decide { seat: Seat, epoch: Epoch },
+    Fold { seat: Seat, epoch: Epoch },
+    Finish { seat: Seat, epoch: Epoch, job: JobId },
+    Submit { req: ReqId, id: JobId, value: serde_json::Value },
+    ReadJob { req: ReqId, id: JobId, ask: AskKind },
+    ReadFinal { req: ReqId, id: JobId, ask: AskKind },
     BasePut,
     BaseGet,
     Catalog,
@@ -184,10 +154,7 @@
     pub fn reachable(&self, s: Seat) -> bool {
         self.owner(s).is_some_and(|o| {
             o.node == self.me
-                || self
-                    .heard
-                    .get(o.node.0 as usize)
-                    .is_some_and(|h| self.now < h + SILENT_MS)
+                || self.heard.get(o.node.0 as usize).is_some_and(|h| self.now < h + SILENT_MS)
         })
     }
 
@@ -221,28 +188,14 @@
 
     pub fn direct(&mut self, m: MachineIdx, addr: String, batch: u64, direct: Direct) {
         let machine = self.names.machine_name(m).to_string();
-        self.out.list.push(Output::Orders {
-            machine,
-            addr,
-            batch,
-            direct,
-        });
+        self.out.list.push(Output::Orders { machine, addr, batch, direct });
     }
 
     /// Creates the mark of the newest machine that was there before the service, or reads it.
     pub fn find_base(&mut self, newest: String) {
-        let change = Change::Put {
-            key: "base".into(),
-            value: json!(newest),
-            lease: None,
-        };
-        let txn = Txn {
-            conds: vec![Cond {
-                key: "base".into(),
-                version: 0,
-            }],
-            changes: vec![change],
-        };
+        let change = Change::Put { key: "base".into(), value: json!(newest), lease: None };
+        let txn =
+            Txn { conds: vec![Cond { key: "base".into(), version: 0 }], changes: vec![change] };
         self.budget.force(1);
         self.store(OpKind::BasePut, StoreCall::Txn(txn));
     }
@@ -257,10 +210,7 @@
             (404, _) => Told::Unknown,
             _ => Told::Later,
         };
-        self.out.list.push(Output::Mesh {
-            to,
-            msg: NodeMsg::Told { call, answer },
-        });
+        self.out.list.push(Output::Mesh { to, msg: NodeMsg::Told { call, answer } });
     }
 
     pub fn reply_state(&mut self, req: ReqId, status: u16, state: JobState) {
@@ -275,12 +225,8 @@
     }
 
     pub fn reply_error(&mut self, req: ReqId, status: u16, why: &str, after_s: Option<u32>) {
-        let reply = UserReply {
-            status,
-            state: None,
-            error: Some(why.to_string()),
-            retry_after_s: after_s,
-        };
+        let reply =
+            UserReply { status, state: None, error: Some(why.to_string()), retry_after_s: after_s };
         self.reply(req, reply);
     }
 }
@@ -372,10 +318,7 @@
             state_ok_at: now,
             owned: (0..n).map(|_| None).collect(),
             buyer: None,
-            ops: Ops {
-                next: 0,
-                open: HashMap::new(),
-            },
+            ops: Ops { next: 0, open: HashMap::new() },
             sends: VecDeque::new(),
             calls: HashMap::new(),
             next_call: boot << 20,
@@ -405,21 +348,14 @@
     pub fn step(&mut self, now: Now, time_ms: u64, input: Input) -> Vec<Output> {
         self.time_ms = time_ms;
         self.budget.refill(now);
-        let mut out = Out {
-            now,
-            list: Vec::new(),
-        };
+        let mut out = Out { now, list: Vec::new() };
         match input {
             Input::Tick => self.tick(&mut out),
             Input::Submit { req, id, job } => self.submit(&mut out, req, id, job),
             Input::Get { req, id } => self.lookup(&mut out, req, id, Ask::Get),
             Input::Cancel { req, id } => self.lookup(&mut out, req, id, Ask::Cancel),
             Input::Report { req, report } => self.report(&mut out, req, &report),
-            Input::Orders {
-                machine,
-                batch,
-                outcome,
-            } => {
+            Input::Orders { machine, batch, outcome } => {
                 self.direct_outcome(&mut out, &machine, batch, &outcome);
             }
             Input::Mesh { from, msg } => self.mesh(&mut out, &from, *msg),
@@ -461,10 +397,7 @@
                     continue;
                 };
                 if o.node == self.me {
-                    if self.owned[to.0 as usize]
-                        .as_ref()
-                        .is_some_and(|x| x.epoch == o.epoch)
-                    {
+                    if self.owned[to.0 as usize].as_ref().is_some_and(|x| x.epoch == o.epoch) {
                         self.deliver(out, from, epoch, to, msg);
                     }
                 } else {
@@ -560,14 +493,8 @@
         let value = json!({"job": *job, "at": self.time_ms});
         let txn = Txn {
             conds: vec![
-                Cond {
-                    key: job_key(seat, id),
-                    version: 0,
-                },
-                Cond {
-                    key: coordinator::final_key(seat, id),
-                    version: 0,
-                },
+                Cond { key: job_key(seat, id), version: 0 },
+                Cond { key: coordinator::final_key(seat, id), version: 0 },
             ],
             changes: vec![Change::Put {
                 key: job_key(seat, id),
@@ -585,22 +512,14 @@
             return false;
         };
         let shape = wire_shape(j);
-        let need = Room {
-            cpu: shape.cpu,
-            gpu: shape.gpu,
-            mem: shape.mem,
-        };
+        let need = Room { cpu: shape.cpu, gpu: shape.gpu, mem: shape.mem };
         let fits = self.names.catalog.iter().enumerate().any(|(i, t)| {
             let idx = crate::ids::TypeIdx(i as u8);
             self.names.allows(&shape, idx, false)
                 && self.names.room_of_type(idx).fits(need) > 0
                 && j.zone.as_ref().is_none_or(|z| t.zones.contains(z))
         });
-        let n = if j.kind == user::Kind::Array {
-            1.0
-        } else {
-            f64::from(j.tasks)
-        };
+        let n = if j.kind == user::Kind::Array { 1.0 } else { f64::from(j.tasks) };
         let within = |max: f64, v: f64| max == 0.0 || v * n <= max + 1e-6;
         fits && within(team.cpus_max, j.cpus) && within(team.gpus_max, j.gpus)
     }
@@ -612,9 +531,8 @@
         let view = self.view[seat.0 as usize].owner;
         let busy = self.ops.open.len() > MOST_CALLS || self.calls.len() > MOST_CALLS;
         let mut c = ctx!(self, out);
-        if let Some(o) = self.owned[seat.0 as usize]
-            .as_mut()
-            .filter(|o| valid && o.coordinator.ready())
+        if let Some(o) =
+            self.owned[seat.0 as usize].as_mut().filter(|o| valid && o.coordinator.ready())
         {
             if ask == Ask::Cancel {
                 if o.coordinator.cancel(&mut c, req, id) {
@@ -627,27 +545,10 @@
             self.next_call += 1;
             let call = self.next_call;
             let to = self.nodes[o.node.0 as usize].clone();
-            let msg = NodeMsg::Ask {
-                call,
-                job: id.0,
-                cancel: ask == Ask::Cancel,
-            };
+            let msg = NodeMsg::Ask { call, job: id.0, cancel: ask == Ask::Cancel };
             out.list.push(Output::Mesh { to, msg });
-            let until = now
-                + if ask == Ask::Cancel {
-                    CANCEL_CALL_MS
-                } else {
-                    CALL_MS
-                };
-            self.calls.insert(
-                call,
-                Call {
-                    req,
-                    id,
-                    ask,
-                    until,
-                },
-            );
+            let until = now + if ask == Ask::Cancel { CANCEL_CALL_MS } else { CALL_MS };
+            self.calls.insert(call, Call { req, id, ask, until });
             return;
         }
         self.read_job(out, req, id, ask);
@@ -662,17 +563,8 @@
         if busy {
             return c.reply_later(req, 503, 2);
         }
-        let kind = OpKind::ReadJob {
-            req,
-            id,
-            ask: AskKind(ask),
-        };
-        c.store(
-            kind,
-            StoreCall::Get {
-                key: job_key(seat, id),
-            },
-        );
+        let kind = OpKind::ReadJob { req, id, ask: AskKind(ask) };
+        c.store(kind, StoreCall::Get { key: job_key(seat, id) });
     }
 
     // ---- workers -------------------------------------------------------------------------
@@ -716,8 +608,7 @@
             DirectOutcome::NotSent => (None, false),
             DirectOutcome::Unknown => (None, true),
         };
-        o.part
-            .direct_outcome(&mut c, machine, batch, report, unknown);
+        o.part.direct_outcome(&mut c, machine, batch, report, unknown);
     }
 
     // ---- siblings ------------------------------------------------------------------------
@@ -730,21 +621,13 @@
         self.heard[n] = now;
         match msg {
             NodeMsg::Beat { .. } => {}
-            NodeMsg::Seat {
-                from,
-                from_epoch,
-                to,
-                to_epoch,
-                msg,
-            } => {
+            NodeMsg::Seat { from, from_epoch, to, to_epoch, msg } => {
                 let len = self.view.len();
                 if from as usize >= len || to as usize >= len {
                     return;
                 }
                 let mine = self.owned[to as usize].as_ref().map(|o| o.epoch.0);
-                let newer = self.view[from as usize]
-                    .owner
-                    .is_some_and(|o| o.epoch.0 > from_epoch);
+                let newer = self.view[from as usize].owner.is_some_and(|o| o.epoch.0 > from_epoch);
                 if mine == Some(to_epoch) && !newer {
                     self.deliver(out, Seat(from), Epoch(from_epoch), Seat(to), msg);
                 }
@@ -757,18 +640,12 @@
                 let to = from.to_string();
                 let Some(o) = mine.filter(|o| valid && o.coordinator.ready()) else {
                     let answer = Told::NotMine;
-                    out.list.push(Output::Mesh {
-                        to,
-                        msg: NodeMsg::Told { call, answer },
-                    });
+                    out.list.push(Output::Mesh { to, msg: NodeMsg::Told { call, answer } });
                     return;
                 };
                 if self.relays.len() > MOST_CALLS {
                     let answer = Told::Later;
-                    out.list.push(Output::Mesh {
-                        to,
-                        msg: NodeMsg::Told { call, answer },
-                    });
+                    out.list.push(Output::Mesh { to, msg: NodeMsg::Told { call, answer } });
                     return;
                 }
                 self.next_call += 1;
@@ -825,14 +702,8 @@
         }
         self.drop_seat(out, seat);
         let n = self.view.len();
-        out.log(1, "seat_acquired", || {
-            format!("seat={} epoch={}", seat.0, epoch.0)
-        });
-        self.view[i].owner = Some(Owner {
-            node: self.me,
-            boot: self.boot,
-            epoch,
-        });
+        out.log(1, "seat_acquired", || format!("seat={} epoch={}", seat.0, epoch.0));
+        self.view[i].owner = Some(Owner { node: self.me, boot: self.boot, epoch });
         self.owned[i] = Some(Owned {
             epoch,
             coordinator: Coordinator::new(seat, epoch, n),
@@ -854,9 +725,7 @@
         let mut c = ctx!(self, out);
         if let Some(mut o) = self.owned[seat.0 as usize].take() {
             o.coordinator.abandon(&mut c);
-            c.out.log(1, "seat_lost", || {
-                format!("seat={} epoch={}", seat.0, o.epoch.0)
-            });
+            c.out.log(1, "seat_lost", || format!("seat={} epoch={}", seat.0, o.epoch.0));
             if seat == BUYER_SEAT {
                 self.buyer = None;
             }
@@ -888,11 +757,7 @@
         let i = seat.0 as usize;
         let Some((v, version)) = value else {
             if self.view[i].owner.is_some() {
-                self.view[i] = SeatView {
-                    owner: None,
-                    vacant_since: now,
-                    trying: false,
-                };
+                self.view[i] = SeatView { owner: None, vacant_since: now, trying: false };
             }
             if self.owned[i].is_some() {
                 self.drop_seat(out, seat);
@@ -900,18 +765,12 @@
             return;
         };
         let epoch = Epoch(version);
-        let node = v["node"]
-            .as_str()
-            .and_then(|n| self.nodes.iter().position(|x| x == n));
+        let node = v["node"].as_str().and_then(|n| self.nodes.iter().position(|x| x == n));
         let boot = v["boot"].as_u64();
         let (Some(node), Some(boot)) = (node, boot) else {
             return;
         };
-        let owner = Owner {
-            node: NodeIdx(node as u8),
-            boot,
-            epoch,
-        };
+        let owner = Owner { node: NodeIdx(node as u8), boot, epoch };
         if self.view[i].owner.is_some_and(|o| o.epoch > epoch) {
             return;
         }
@@ -946,13 +805,7 @@
         if !self.seats_busy && now >= self.seats_at && !self.view_known {
             self.seats_busy = true;
             let mut c = ctx!(self, out);
-            c.store(
-                OpKind::Seats,
-                StoreCall::List {
-                    prefix: "seat/".into(),
-                    after: None,
-                },
-            );
+            c.store(OpKind::Seats, StoreCall::List { prefix: "seat/".into(), after: None });
         }
     }
 
@@ -999,15 +852,8 @@
             let key = seat_key(Seat(i as u8));
             let value = json!({"node": self.nodes[self.me.0 as usize], "boot": self.boot});
             let txn = Txn {
-                conds: vec![Cond {
-                    key: key.clone(),
-                    version,
-                }],
-                changes: vec![Change::Put {
-                    key,
-                    value,
-                    lease: self.lease.id,
-                }],
+                conds: vec![Cond { key: key.clone(), version }],
+                changes: vec![Change::Put { key, value, lease: self.lease.id }],
             };
             self.budget.force(1);
             let mut c = ctx!(self, out);
@@ -1030,10 +876,7 @@
                 let key = seat_key(Seat(i as u8));
                 let epoch = o.epoch;
                 let txn = Txn {
-                    conds: vec![Cond {
-                        key: key.clone(),
-                        version: epoch.0,
-                    }],
+                    conds: vec![Cond { key: key.clone(), version: epoch.0 }],
                     changes: vec![Change::Delete { key }],
                 };
                 self.budget.force(1);
@@ -1053,12 +896,8 @@
             c.cloud(OpKind::Catalog, CloudCall::Catalog);
         }
         // Calls to siblings that got no answer: the store knows.
-        let late: Vec<u64> = self
-            .calls
-            .iter()
-            .filter(|(_, c)| now >= c.until)
-            .map(|(k, _)| *k)
-            .collect();
+        let late: Vec<u64> =
+            self.calls.iter().filter(|(_, c)| now >= c.until).map(|(k, _)| *k).collect();
         for k in late {
             let Some(call) = self.calls.remove(&k) else {
                 continue;
@@ -1086,11 +925,7 @@
                 }
             }
             if let Some((epoch, after)) = watch {
-                let call = StoreCall::Watch {
-                    prefix: job_prefix(seat),
-                    after,
-                    wait_ms: 15_000,
-                };
+                let call = StoreCall::Watch { prefix: job_prefix(seat), after, wait_ms: 15_000 };
                 c.store(OpKind::JobWatch { seat, epoch }, call);
             }
             self.wake |= c.wake;
@@ -1123,10 +958,7 @@
                 && !self.names.catalog.is_empty()
             {
                 let to = self.nodes[o.node.0 as usize].clone();
-                out.list.push(Output::Mesh {
-                    to,
-                    msg: NodeMsg::WantSeat { seat: me as u8 },
-                });
+                out.list.push(Output::Mesh { to, msg: NodeMsg::WantSeat { seat: me as u8 } });
             }
         }
         for i in 0..self.owned.len() {
@@ -1148,10 +980,7 @@
 
     fn coordinator(&mut self, seat: Seat, epoch: Epoch) -> Option<usize> {
         let i = seat.0 as usize;
-        self.owned[i]
-            .as_ref()
-            .is_some_and(|o| o.epoch == epoch)
-            .then_some(i)
+        self.owned[i].as_ref().is_some_and(|o| o.epoch == epoch).then_some(i)
     }
 
     fn stored(&mut self, out: &mut Out, kind: OpKind, result: StoreResult) {
@@ -1171,10 +1000,7 @@
                     StoreResult::Touched => self.lease.renewed = self.lease.renewed.max(sent),
                     StoreResult::NoLease => {
                         out.log(1, "lease_lost", String::new);
-                        self.lease = Lease {
-                            next: now,
-                            ..Lease::default()
-                        };
+                        self.lease = Lease { next: now, ..Lease::default() };
                         self.drop_all(out);
                     }
                     _ => self.lease.next = now + 300,
@@ -1224,10 +1050,7 @@
                         self.own(out, seat, Epoch(rev));
                     }
                     StoreResult::NoLease => {
-                        self.lease = Lease {
-                            next: now,
-                            ..Lease::default()
-                        };
+                        self.lease = Lease { next: now, ..Lease::default() };
                         self.drop_all(out);
                     }
                     // Whoever owns it, the watch will tell.
@@ -1241,11 +1064,7 @@
                 match result {
                     StoreResult::Committed(_) => {
                         self.drop_seat(out, seat);
-                        self.view[i] = SeatView {
-                            owner: None,
-                            vacant_since: now,
-                            trying: false,
-                        };
+                        self.view[i] = SeatView { owner: None, vacant_since: now, trying: false };
                         self.next_acquire[i] = now + 2000;
                     }
                     StoreResult::Conflict(_) => self.drop_seat(out, seat),
@@ -1297,11 +1116,8 @@
                 }
                 self.wake |= c.wake;
                 if let Some(after) = again {
-                    let call = StoreCall::Watch {
-                        prefix: job_prefix(seat),
-                        after,
-                        wait_ms: 15_000,
-                    };
+                    let call =
+                        StoreCall::Watch { prefix: job_prefix(seat), after, wait_ms: 15_000 };
                     c.store(OpKind::JobWatch { seat, epoch }, call);
                 }
             }
@@ -1404,11 +1220,7 @@
 
     fn watch_seats(&mut self, out: &mut Out, after: u64) {
         let mut c = ctx!(self, out);
-        let call = StoreCall::Watch {
-            prefix: "seat/".into(),
-            after,
-            wait_ms: 15_000,
-        };
+        let call = StoreCall::Watch { prefix: "seat/".into(), after, wait_ms: 15_000 };
         c.store(OpKind::SeatWatch, call);
     }
 
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -1,8 +1,9 @@
 //! A seat's machines: holds room, offers it, starts what was decided, and proves what is gone.
 use crate::fleet::{Key, Machine, StopWish, TaskOn};
-use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat};
-use crate::names::{Room, Shape};
+use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, TypeIdx, ZoneIdx};
+use crate::names::{Names, Room, Shape};
 use crate::node::Ctx;
+use crate::preemption::{victims, Candidate};
 use crate::seat::at_least;
 use leaddeal_wire::mesh::{
     AttemptRef, MachineInfo, Offer, Phase, Pick, SeatMsg, TaskEvent, Wanted,
@@ -24,6 +25,15 @@
     count: u64,
 }
 
+/// Room made for a job by stopping others: nobody else gets it for a while.
+#[derive(Clone, Debug)]
+struct Claim {
+    job: JobId,
+    machine: MachineIdx,
+    need: Room,
+    until: Now,
+}
+
 #[derive(Debug)]
 pub struct Part {
     pub seat: Seat,
@@ -31,6 +41,7 @@
     pub since: Now,
     pub machines: BTreeMap<MachineIdx, Machine>,
     holds: Vec<Hold>,
+    claims: Vec<Claim>,
     asked_at: Now,
     /// The newest epoch heard of, by coordinator's seat.
     coordinators: Vec<Epoch>,
@@ -48,6 +59,7 @@
             since: now,
             machines: BTreeMap::new(),
             holds: Vec::new(),
+            claims: Vec::new(),
             asked_at: now,
             coordinators: vec![Epoch(0); seats],
             dirty: BTreeSet::new(),
@@ -59,9 +71,7 @@
     fn machine(&mut self, m: MachineIdx) -> &mut Machine {
         // Not heard of yet: an owner before us may have granted its worker a lease until now.
         let since = self.since;
-        self.machines
-            .entry(m)
-            .or_insert_with(|| Machine::new(since))
+        self.machines.entry(m).or_insert_with(|| Machine::new(since))
     }
 
     /// A report to be answered. None: the worker knows a newer owner.
@@ -84,15 +94,8 @@
         }
         let stale = (r.session, r.seq) != (m.session, m.seq);
         m.granted = now;
-        let orders = if stale || !ctx.valid {
-            Vec::new()
-        } else {
-            m.orders(now, ORDERS)
-        };
-        Some(Answer {
-            token: epoch.0,
-            orders,
-        })
+        let orders = if stale || !ctx.valid { Vec::new() } else { m.orders(now, ORDERS) };
+        Some(Answer { token: epoch.0, orders })
     }
 
     fn take_report(&mut self, ctx: &mut Ctx, idx: MachineIdx, r: &Report, checkin: bool) {
@@ -103,12 +106,7 @@
         let m = self.machine(idx);
         m.kind = kind;
         m.zone = zone;
-        let before: Vec<Key> = m
-            .tasks
-            .iter()
-            .filter(|(_, t)| t.over())
-            .map(|(k, _)| *k)
-            .collect();
+        let before: Vec<Key> = m.tasks.iter().filter(|(_, t)| t.over()).map(|(k, _)| *k).collect();
         if !m.apply(r, epoch, checkin, now) {
             return;
         }
@@ -156,10 +154,7 @@
                 if t.stop.is_none() && matches!(t.phase, Phase::On(TaskState::Running)) {
                     if let Some(s) = t.shape.as_ref().filter(|s| s.wire.checkpoint_s > 0.0) {
                         let grace_s = s.wire.save_s + 5.0;
-                        t.stop = Some(StopWish {
-                            grace_s,
-                            since: now,
-                        });
+                        t.stop = Some(StopWish { grace_s, since: now });
                     }
                 }
             }
@@ -209,8 +204,7 @@
                 self.offer(ctx, from, Negotiation(negotiation), &items);
             }
             SeatMsg::Close { negotiation } => {
-                self.holds
-                    .retain(|h| h.seat != from || h.negotiation.0 != negotiation);
+                self.holds.retain(|h| h.seat != from || h.negotiation.0 != negotiation);
             }
             SeatMsg::Place { job, shape, picks } => {
                 let shape = ctx.names.shape(&shape);
@@ -259,15 +253,16 @@
         {
             h.count -= 1;
         }
+        let claimed = |c: &Claim| c.job == job && c.machine == idx;
+        if let Some(i) = self.claims.iter().position(claimed) {
+            self.claims.swap_remove(i);
+        }
         let m = self.machine(idx);
         let gone = m.released || p.session < m.session || (m.lapsed && p.session <= m.session);
-        let t = m
-            .tasks
-            .entry((job, p.task, Attempt(p.attempt)))
-            .or_insert_with(|| {
-                let phase = if gone { Phase::Gone } else { Phase::Decided };
-                TaskOn::new(None, phase, p.session)
-            });
+        let t = m.tasks.entry((job, p.task, Attempt(p.attempt))).or_insert_with(|| {
+            let phase = if gone { Phase::Gone } else { Phase::Decided };
+            TaskOn::new(None, phase, p.session)
+        });
         t.shape = Some(shape.clone());
         // Tell again whatever there is to tell: the sender does not know it.
         t.told = None;
@@ -285,10 +280,7 @@
             .entry((JobId(what.job), what.task, Attempt(what.attempt)))
             .or_insert_with(|| TaskOn::new(None, Phase::Decided, session));
         if t.stop.is_none_or(|s| s.grace_s > grace_s) {
-            t.stop = Some(StopWish {
-                grace_s,
-                since: now,
-            });
+            t.stop = Some(StopWish { grace_s, since: now });
         }
         // Never sent by us, and no older owner's command counts any more.
         let never = !t.answered && !t.risky && t.direct.is_none() && !t.listed;
@@ -299,19 +291,103 @@
         self.dirty.insert(idx);
     }
 
-    fn free(&self, idx: MachineIdx, m: &Machine, names: &crate::names::Names) -> Option<Room> {
+    fn free(&self, idx: MachineIdx, m: &Machine, names: &Names, job: JobId) -> Option<Room> {
         let mut free = names.room_of_type(m.kind?);
         free.sub(m.used()?, 1);
         for h in self.holds.iter().filter(|h| h.machine == idx) {
             free.sub(h.need, h.count);
         }
+        for c in self.claims.iter().filter(|c| c.machine == idx && c.job != job) {
+            free.sub(c.need, 1);
+        }
         Some(free)
     }
 
+    /// Whether a machine may get work of this job at all, now.
+    fn usable(&self, ctx: &Ctx, m: &Machine, w: &Wanted) -> Option<(TypeIdx, ZoneIdx)> {
+        let now = ctx.now;
+        let usable = !m.draining
+            && !m.released
+            && !m.lapsed
+            && m.confirmed
+            && m.notice.is_none()
+            && m.shunned_until <= now
+            && now < m.heard + ctx.cfg.quiet_ms
+            && !m.failed.iter().any(|f| f.0 .0 == w.job && f.1 + SHUN_MS > now);
+        let (kind, zone) = (m.kind?, m.zone?);
+        (usable && ctx.names.allows(&w.shape, kind, m.spot)).then_some((kind, zone))
+    }
+
+    /// Stops less important tasks so that up to `count` tasks of the job find room soon.
+    fn make_room(&mut self, ctx: &mut Ctx, w: &Wanted, shape: &Shape, count: u32, zones: &[u32]) {
+        let now = ctx.now;
+        let job = JobId(w.job);
+        let have = self.claims.iter().filter(|c| c.job == job).count() as u32;
+        for _ in have..count.min(have + 32) {
+            let mut best: Option<(u64, bool, MachineIdx, Vec<Key>)> = None;
+            for (&idx, m) in &self.machines {
+                let Some((kind, zone)) = self.usable(ctx, m, w) else { continue };
+                if zones.get(zone.0 as usize).is_none_or(|&r| r == 0) {
+                    continue;
+                }
+                let Some(mut soon) = self.free(idx, m, ctx.names, JobId(u64::MAX)) else {
+                    continue;
+                };
+                // Nothing is idle here by the usual count, or it would have been offered; what
+                // is being stopped already will be free soon.
+                let mut cands = Vec::new();
+                for (k, t) in m.tasks.iter().filter(|(_, t)| !t.over()) {
+                    let Some(s) = &t.shape else { continue };
+                    if t.stop.is_some() {
+                        soon.add(s.need, 1);
+                        continue;
+                    }
+                    let ran = t.on_since.map_or(0, |s| now.saturating_sub(s)) / 1000;
+                    let lost = match s.wire.checkpoint_s {
+                        c if c > 0.0 => ran.min(s.wire.save_s as u64 + 1),
+                        _ => ran,
+                    };
+                    cands.push(Candidate {
+                        key: *k,
+                        priority: s.wire.priority,
+                        need: s.need,
+                        loss: lost * (s.need.cpu + 20 * s.need.gpu),
+                    });
+                }
+                if shape.need.gpu == 0 && ctx.names.room_of_type(kind).gpu > 0 {
+                    // GPU work is not stopped for work without GPUs.
+                    cands.retain(|c| c.need.gpu == 0);
+                }
+                let chosen = victims(soon, shape.need, shape.wire.priority, cands);
+                let Some((keys, loss)) = chosen else { continue };
+                let far = !m.has_image(shape.image);
+                if best.as_ref().is_none_or(|b| (loss, far) < (b.0, b.1)) {
+                    best = Some((loss, far, idx, keys));
+                }
+            }
+            let Some((_, _, idx, keys)) = best else { return };
+            let mut until = now + 3000;
+            let Some(m) = self.machines.get_mut(&idx) else { return };
+            for k in keys {
+                let Some(t) = m.tasks.get_mut(&k) else { continue };
+                let save = t.shape.as_ref().filter(|s| s.wire.checkpoint_s > 0.0);
+                let grace_s = match (save, t.phase) {
+                    (Some(s), Phase::On(TaskState::Running)) => s.wire.save_s + 2.0,
+                    _ => 0.0,
+                };
+                until = until.max(now + 3000 + (grace_s * 1000.0) as u64);
+                t.stop = Some(StopWish { grace_s, since: now });
+            }
+            self.claims.push(Claim { job, machine: idx, need: shape.need, until });
+            self.dirty.insert(idx);
+        }
+    }
+
     fn offer(&mut self, ctx: &mut Ctx, from: Seat, negotiation: Negotiation, items: &[Wanted]) {
         let now = ctx.now;
         let mut offers = Vec::new();
         self.gpu_work.retain(|_, t| *t + 300_000 > now);
+        self.claims.retain(|c| c.until > now);
         for (i, w) in items.iter().enumerate() {
             let shape = ctx.names.shape(&w.shape);
             if shape.need.gpu > 0 {
@@ -320,26 +396,8 @@
             }
             let mut choices = Vec::new();
             for (&idx, m) in &self.machines {
-                let (Some(kind), Some(zone)) = (m.kind, m.zone) else {
-                    continue;
-                };
-                let usable = !m.draining
-                    && !m.released
-                    && !m.lapsed
-                    && m.confirmed
-                    && m.notice.is_none()
-                    && m.shunned_until <= now
-                    && now < m.heard + ctx.cfg.quiet_ms
-                    && !m
-                        .failed
-                        .iter()
-                        .any(|f| f.0 .0 == w.job && f.1 + SHUN_MS > now);
-                if !usable || !ctx.names.allows(&w.shape, kind, m.spot) {
-                    continue;
-                }
-                let Some(mut free) = self.free(idx, m, ctx.names) else {
-                    continue;
-                };
+                let Some((kind, zone)) = self.usable(ctx, m, w) else { continue };
+                let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job)) else { continue };
                 let whole = ctx.names.room_of_type(kind);
                 let mut left = free;
                 if shape.need.gpu == 0 && whole.gpu > 0 {
@@ -362,15 +420,7 @@
                 }
                 let cached = m.has_image(shape.image);
                 let gpu_waste = shape.need.gpu == 0 && whole.gpu > 0;
-                choices.push((
-                    gpu_waste,
-                    !cached,
-                    -(free.cpu as i64),
-                    idx,
-                    zone,
-                    n,
-                    m.session,
-                ));
+                choices.push((gpu_waste, !cached, -(free.cpu as i64), idx, zone, n, m.session));
             }
             choices.sort_unstable();
             let mut zone_room = w.zone_room.clone();
@@ -406,15 +456,11 @@
                     break;
                 }
             }
+            if w.make_room && wanted > 0 {
+                self.make_room(ctx, w, &shape, wanted, &zone_room);
+            }
         }
-        ctx.send(
-            self.seat,
-            from,
-            SeatMsg::Offers {
-                negotiation: negotiation.0,
-                offers,
-            },
-        );
+        ctx.send(self.seat, from, SeatMsg::Offers { negotiation: negotiation.0, offers });
     }
 
     /// Tells the coordinators what changed, and commands the workers.
@@ -457,11 +503,7 @@
                     let orders = m.direct_orders(batch, ORDERS);
                     if !orders.is_empty() {
                         m.direct = Some(batch);
-                        let direct = Direct {
-                            token: self.epoch.0,
-                            session: m.session,
-                            orders,
-                        };
+                        let direct = Direct { token: self.epoch.0, session: m.session, orders };
                         ctx.direct(idx, m.addr.clone(), batch, direct);
                     }
                 }
@@ -469,11 +511,7 @@
         }
         for (seat, events) in events {
             for c in events.chunks(200) {
-                ctx.send(
-                    self.seat,
-                    Seat(seat),
-                    SeatMsg::Events { events: c.to_vec() },
-                );
+                ctx.send(self.seat, Seat(seat), SeatMsg::Events { events: c.to_vec() });
             }
         }
     }
@@ -490,10 +528,7 @@
                 ctx.out.log(1, "machine_lost", || n);
                 self.dirty.insert(idx);
             }
-            if m.tasks
-                .values()
-                .any(|t| t.over() && !t.acked && now >= t.told_at + 2000)
-            {
+            if m.tasks.values().any(|t| t.over() && !t.acked && now >= t.told_at + 2000) {
                 self.dirty.insert(idx);
             }
             if (m.released || m.lapsed) && m.tasks.is_empty() && now > m.heard + 300_000 {
@@ -506,11 +541,8 @@
         // Holds end by decision. If none came, it got lost: ask for it.
         if now >= self.asked_at + 2000 {
             self.asked_at = now;
-            let open: BTreeSet<(u8, u64)> = self
-                .holds
-                .iter()
-                .map(|h| (h.seat.0, h.negotiation.0))
-                .collect();
+            let open: BTreeSet<(u8, u64)> =
+                self.holds.iter().map(|h| (h.seat.0, h.negotiation.0)).collect();
             for (seat, negotiation) in open {
                 ctx.send(self.seat, Seat(seat), SeatMsg::AskDecision { negotiation });
             }
@@ -532,10 +564,7 @@
                         .kind
                         .map(|k| ctx.names.catalog[k.0 as usize].name.clone())
                         .unwrap_or_default(),
-                    zone: m
-                        .zone
-                        .map(|z| ctx.names.zones[z.0 as usize].clone())
-                        .unwrap_or_default(),
+                    zone: m.zone.map(|z| ctx.names.zones[z.0 as usize].clone()).unwrap_or_default(),
                     spot: m.spot,
                     idle_ms: idle.then(|| now.saturating_sub(m.busy_at)),
                     dead: m.lapsed && now > m.heard + lease,
--- a/crates/leaddeal/src/client.rs
+++ b/crates/leaddeal/src/client.rs
@@ -33,11 +33,7 @@
 
 impl Client {
     pub fn new(addr: &str, connect: Duration) -> Client {
-        Client {
-            addr: addr.to_string(),
-            connect,
-            idle: Rc::default(),
-        }
+        Client { addr: addr.to_string(), connect, idle: Rc::default() }
     }
 
     async fn open(&self) -> Result<SendRequest<Full<Bytes>>, NoAnswer> {
@@ -46,9 +42,7 @@
             .map_err(|_| NoAnswer::NotSent)?
             .map_err(|_| NoAnswer::NotSent)?;
         let _ = s.set_nodelay(true);
-        let (tx, conn) = http1::handshake(TokioIo::new(s))
-            .await
-            .map_err(|_| NoAnswer::NotSent)?;
+        let (tx, conn) = http1::handshake(TokioIo::new(s)).await.map_err(|_| NoAnswer::NotSent)?;
         tokio::task::spawn_local(async move {
             let _ = conn.await;
         });
@@ -93,9 +87,7 @@
                 .map_err(|_| NoAnswer::Unknown)?;
             Ok((status, body.to_bytes()))
         };
-        let answer = timeout(limit, work)
-            .await
-            .map_err(|_| NoAnswer::Unknown)??;
+        let answer = timeout(limit, work).await.map_err(|_| NoAnswer::Unknown)??;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MOST_IDLE && tx.is_ready() {
             idle.push(tx);
--- a/crates/leaddeal/src/door.rs
+++ b/crates/leaddeal/src/door.rs
@@ -64,9 +64,7 @@
         let req = self.next_req.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
         // A full queue refuses at once.
-        self.events
-            .try_send(Event::Request(req, tx, make(req)))
-            .ok()?;
+        self.events.try_send(Event::Request(req, tx, make(req))).ok()?;
         timeout(ANSWER_LIMIT, rx).await.ok()?.ok()
     }
 
@@ -79,10 +77,7 @@
 }
 
 async fn body(b: Body, most: usize) -> Option<Bytes> {
-    timeout(BODY_LIMIT, axum::body::to_bytes(b, most))
-        .await
-        .ok()?
-        .ok()
+    timeout(BODY_LIMIT, axum::body::to_bytes(b, most)).await.ok()?.ok()
 }
 
 async fn submit(State(d): State<Door>, req: Request) -> Response {
@@ -103,26 +98,14 @@
 
 async fn status(State(d): State<Door>, Path(id): Path<String>) -> Response {
     match user::parse_job_id(&id) {
-        Some(n) => {
-            d.user(|req| Input::Get {
-                req,
-                id: leaddeal_core::ids::JobId(n),
-            })
-            .await
-        }
+        Some(n) => d.user(|req| Input::Get { req, id: leaddeal_core::ids::JobId(n) }).await,
         None => text(404, "unknown job"),
     }
 }
 
 async fn cancel(State(d): State<Door>, Path(id): Path<String>) -> Response {
     match user::parse_job_id(&id) {
-        Some(n) => {
-            d.user(|req| Input::Cancel {
-                req,
-                id: leaddeal_core::ids::JobId(n),
-            })
-            .await
-        }
+        Some(n) => d.user(|req| Input::Cancel { req, id: leaddeal_core::ids::JobId(n) }).await,
         None => text(404, "unknown job"),
     }
 }
@@ -135,13 +118,7 @@
         Ok(r) => r,
         Err(e) => return text(400, &e.to_string()),
     };
-    match d
-        .ask(|req| Input::Report {
-            req,
-            report: Box::new(report),
-        })
-        .await
-    {
+    match d.ask(|req| Input::Report { req, report: Box::new(report) }).await {
         Some(Reply::Worker(WorkerReply::Answer(a))) => axum::Json(a).into_response(),
         Some(Reply::Worker(WorkerReply::Redirect(report_to))) => {
             let status = StatusCode::MISDIRECTED_REQUEST;
@@ -164,10 +141,7 @@
         .route(user::HEALTH, get(health))
         .route(user::JOBS, post(submit))
         .route(&format!("{}/{{id}}", user::JOBS), get(status))
-        .route(
-            &format!("{}/{{id}}/{}", user::JOBS, user::CANCEL),
-            post(cancel),
-        )
+        .route(&format!("{}/{{id}}/{}", user::JOBS, user::CANCEL), post(cancel))
         .route(worker::REPORT, post(report))
         .fallback(|| async { text(404, "no such path") })
         .method_not_allowed_fallback(|| async { text(405, "method not allowed") })
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -45,9 +45,7 @@
 }
 
 fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |d| d.as_millis() as u64)
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
 pub async fn run(s: Settings) -> std::io::Result<()> {
@@ -80,12 +78,7 @@
         links: s
             .peers
             .iter()
-            .map(|p| {
-                (
-                    p.node.clone(),
-                    link::dial(s.node.clone(), p.addr.clone(), boot),
-                )
-            })
+            .map(|p| (p.node.clone(), link::dial(s.node.clone(), p.addr.clone(), boot)))
             .collect(),
         replies: HashMap::new(),
     };
@@ -154,20 +147,11 @@
                     let _ = events.send(Event::Input(Input::Cloud { op, result })).await;
                 });
             }
-            Output::Orders {
-                machine,
-                addr,
-                batch,
-                direct,
-            } => {
+            Output::Orders { machine, addr, batch, direct } => {
                 let events = self.events.clone();
                 spawn_local(async move {
                     let outcome = command(&addr, &direct).await;
-                    let input = Input::Orders {
-                        machine,
-                        batch,
-                        outcome,
-                    };
+                    let input = Input::Orders { machine, batch, outcome };
                     let _ = events.send(Event::Input(input)).await;
                 });
             }
@@ -182,10 +166,7 @@
 
 async fn command(addr: &str, direct: &Direct) -> DirectOutcome {
     let c = Client::new(addr, Duration::from_millis(800));
-    match c
-        .call(Method::POST, worker::COMMANDS, Some(direct), DIRECT_LIMIT)
-        .await
-    {
+    match c.call(Method::POST, worker::COMMANDS, Some(direct), DIRECT_LIMIT).await {
         Ok((status, b)) => match (status, parse::<Report>(&b)) {
             (200, Some(r)) => DirectOutcome::Executed(Box::new(r)),
             (409, Some(r)) => DirectOutcome::Refused(Box::new(r)),
@@ -201,8 +182,7 @@
     let answer = match &call {
         StoreCall::NewLease { ttl_ms } => {
             let b = state::LeaseAsk { ttl_ms: *ttl_ms };
-            c.call(Method::POST, state::LEASES, Some(&b), STORE_LIMIT)
-                .await
+            c.call(Method::POST, state::LEASES, Some(&b), STORE_LIMIT).await
         }
         StoreCall::Touch { lease } => {
             let path = format!("{}/{lease}/touch", state::LEASES);
@@ -214,31 +194,15 @@
         }
         StoreCall::Txn(t) => c.call(Method::POST, state::TXN, Some(t), STORE_LIMIT).await,
         StoreCall::Get { key } => {
-            c.call(
-                Method::GET,
-                &format!("{}/{key}", state::KV),
-                none,
-                STORE_LIMIT,
-            )
-            .await
+            c.call(Method::GET, &format!("{}/{key}", state::KV), none, STORE_LIMIT).await
         }
         StoreCall::List { prefix, after } => {
-            let after = after
-                .as_ref()
-                .map(|a| format!("&after={a}"))
-                .unwrap_or_default();
+            let after = after.as_ref().map(|a| format!("&after={a}")).unwrap_or_default();
             let path = format!("{}?under={prefix}{after}&limit=300", state::KV);
             c.call(Method::GET, &path, none, STORE_LIMIT).await
         }
-        StoreCall::Watch {
-            prefix,
-            after,
-            wait_ms,
-        } => {
-            let path = format!(
-                "{}?under={prefix}&after={after}&waitMs={wait_ms}",
-                state::WATCH
-            );
+        StoreCall::Watch { prefix, after, wait_ms } => {
+            let path = format!("{}?under={prefix}&after={after}&waitMs={wait_ms}", state::WATCH);
             // Watches stay open through an outage, and then wait on.
             let limit = Duration::from_millis(*wait_ms) + Duration::from_secs(5);
             c.call(Method::GET, &path, none, limit).await
@@ -263,20 +227,10 @@
             parse::<state::TxnAnswer>(&body).map(|a| StoreResult::Conflict(a.failed))
         }
         (StoreCall::Txn(t), 400) => {
-            let leased = t
-                .changes
-                .iter()
-                .any(|c| matches!(c, state::Change::Put { lease: Some(_), .. }));
-            tracing::error!(
-                event = "store_refused",
-                "{}",
-                String::from_utf8_lossy(&body)
-            );
-            Some(if leased {
-                StoreResult::NoLease
-            } else {
-                StoreResult::Refused
-            })
+            let leased =
+                t.changes.iter().any(|c| matches!(c, state::Change::Put { lease: Some(_), .. }));
+            tracing::error!(event = "store_refused", "{}", String::from_utf8_lossy(&body));
+            Some(if leased { StoreResult::NoLease } else { StoreResult::Refused })
         }
         (StoreCall::Get { .. }, 200) => parse(&body).map(|i| StoreResult::Item(Some(i))),
         (StoreCall::Get { .. }, 404) => Some(StoreResult::Item(None)),
@@ -295,22 +249,13 @@
     let none: Option<&()> = None;
     let answer = match &call {
         CloudCall::Catalog => c.call(Method::GET, cloud::CATALOG, none, CLOUD_LIMIT).await,
-        CloudCall::Rent(r) => {
-            c.call(Method::POST, cloud::MACHINES, Some(r), CLOUD_LIMIT)
-                .await
-        }
+        CloudCall::Rent(r) => c.call(Method::POST, cloud::MACHINES, Some(r), CLOUD_LIMIT).await,
         CloudCall::Release(names) => {
-            let b = cloud::Names {
-                machines: names.clone(),
-            };
-            c.call(Method::POST, cloud::RELEASE, Some(&b), CLOUD_LIMIT)
-                .await
+            let b = cloud::Names { machines: names.clone() };
+            c.call(Method::POST, cloud::RELEASE, Some(&b), CLOUD_LIMIT).await
         }
         CloudCall::List { after } => {
-            let after = after
-                .as_ref()
-                .map(|a| format!("after={a}&"))
-                .unwrap_or_default();
+            let after = after.as_ref().map(|a| format!("after={a}&")).unwrap_or_default();
             let path = format!("{}?{after}limit=200", cloud::MACHINES);
             c.call(Method::GET, &path, none, CLOUD_LIMIT).await
         }
@@ -327,11 +272,7 @@
         }
         (CloudCall::Rent(_), 503) => {
             let none = String::from_utf8_lossy(&body).contains("no capacity");
-            Some(if none {
-                CloudResult::NoCapacity
-            } else {
-                CloudResult::Refused
-            })
+            Some(if none { CloudResult::NoCapacity } else { CloudResult::Refused })
         }
         (CloudCall::Release(_), 200) => Some(CloudResult::Released),
         (CloudCall::List { .. }, 200) => parse(&body).map(CloudResult::Listing),
--- a/crates/leaddeal/src/link.rs
+++ b/crates/leaddeal/src/link.rs
@@ -56,14 +56,7 @@
             let _ = s.set_nodelay(true);
             generation += 1;
             let mut buf = Vec::new();
-            frame(
-                &Hello {
-                    node: node.clone(),
-                    boot,
-                    generation,
-                },
-                &mut buf,
-            );
+            frame(&Hello { node: node.clone(), boot, generation }, &mut buf);
             loop {
                 let wrote = timeout(WRITE_LIMIT, s.write_all(&buf)).await;
                 if !matches!(wrote, Ok(Ok(()))) {
@@ -134,10 +127,7 @@
         let Ok(msg) = ciborium::from_reader::<NodeMsg, _>(&buf[..]) else {
             return;
         };
-        let input = Input::Mesh {
-            from: hello.node.clone(),
-            msg: Box::new(msg),
-        };
+        let input = Input::Mesh { from: hello.node.clone(), msg: Box::new(msg) };
         if events.send(Event::Input(input)).await.is_err() {
             return;
         }
--- a/crates/leaddeal/src/main.rs
+++ b/crates/leaddeal/src/main.rs
@@ -10,11 +10,7 @@
 mod link;
 
 #[derive(Parser)]
-#[command(
-    name = "leaddeal",
-    version,
-    about = "A cluster scheduler: runs jobs on rented machines"
-)]
+#[command(name = "leaddeal", version, about = "A cluster scheduler: runs jobs on rented machines")]
 struct Cli {
     /// Settings handed over by the platform (JSON); starts a controller
     #[arg(long, value_name = "FILE")]
@@ -46,12 +42,7 @@
     match (cli.verb, cli.config) {
         (Some(Verb::Check { config }), _) => match read(&config) {
             Ok(s) => {
-                println!(
-                    "{}: good, node {} of {}",
-                    config.display(),
-                    s.node,
-                    s.nodes().len()
-                );
+                println!("{}: good, node {} of {}", config.display(), s.node, s.nodes().len());
                 ExitCode::SUCCESS
             }
             Err(e) => fail(e),
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -40,6 +40,8 @@
     pub count: u32,
     /// How many more tasks each zone may take, by zone number.
     pub zone_room: Vec<u32>,
+    /// Nobody had room lately: stop less important tasks for it, if that helps.
+    pub make_room: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -132,10 +132,7 @@
         }
         for p in &s.peers {
             if p.addr.parse::<std::net::SocketAddr>().is_err() {
-                return bad(
-                    "siblings.address",
-                    format!("{:?} is not ADDRESS:PORT", p.addr),
-                );
+                return bad("siblings.address", format!("{:?} is not ADDRESS:PORT", p.addr));
             }
         }
         let names = s.nodes();
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -114,19 +114,12 @@
         if j.tasks == 0 || j.tasks > 100_000 {
             return Err(BadJob::Range("hauls"));
         }
-        for (name, s) in [
-            ("cargo", &j.class),
-            ("crew", &j.team),
-            ("manifest", &j.image),
-        ] {
+        for (name, s) in [("cargo", &j.class), ("crew", &j.team), ("manifest", &j.image)] {
             if s.is_empty() || s.len() > 200 {
                 return Err(BadJob::Range(name));
             }
         }
-        if j.types
-            .as_ref()
-            .is_some_and(|t| t.len() > 100 || t.iter().any(|s| s.len() > 200))
-        {
+        if j.types.as_ref().is_some_and(|t| t.len() > 100 || t.iter().any(|s| s.len() > 200)) {
             return Err(BadJob::Range("hulls"));
         }
         if j.zone.as_ref().is_some_and(|z| z.len() > 200) {
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -102,11 +102,7 @@
 /// Answer 421: report to that node.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Redirect {
-    #[serde(
-        rename = "harbormaster",
-        default,
-        skip_serializing_if = "Option::is_none"
-    )]
+    #[serde(rename = "harbormaster", default, skip_serializing_if = "Option::is_none")]
     pub report_to: Option<String>,
 }
 
