--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -318,6 +318,22 @@
         (usable && ctx.names.allows(&w.shape, kind, m.spot)).then_some((kind, zone))
     }
 
+    /// What work may use of a machine's free room: work without GPUs leaves enough for the GPU
+    /// work that is known.
+    fn spare(&self, free: Room, whole: Room, need: Room) -> Room {
+        let mut left = free;
+        if need.gpu == 0 && whole.gpu > 0 {
+            for &(cpu, gpu, mem) in self.gpu_work.keys() {
+                let n = Room { cpu, gpu, mem };
+                let mut f = free;
+                f.sub(n, free.fits(n));
+                left.cpu = left.cpu.min(f.cpu);
+                left.mem = left.mem.min(f.mem);
+            }
+        }
+        left
+    }
+
     /// Stops less important tasks so that up to `count` tasks of the job find room soon.
     fn make_room(&mut self, ctx: &mut Ctx, w: &Wanted, shape: &Shape, count: u32, zones: &[u32]) {
         let now = ctx.now;
@@ -354,9 +370,17 @@
                         loss: lost * (s.need.cpu + 20 * s.need.gpu),
                     });
                 }
-                if shape.need.gpu == 0 && ctx.names.room_of_type(kind).gpu > 0 {
-                    // GPU work is not stopped for work without GPUs.
+                let whole = ctx.names.room_of_type(kind);
+                if shape.need.gpu == 0 && whole.gpu > 0 {
+                    // GPU work is not stopped for work without GPUs, nor its room taken.
                     cands.retain(|c| c.need.gpu == 0);
+                    let mut all = soon;
+                    for c in &cands {
+                        all.add(c.need, 1);
+                    }
+                    let spare = self.spare(all, whole, shape.need);
+                    soon.cpu = soon.cpu.saturating_sub(all.cpu - spare.cpu);
+                    soon.mem = soon.mem.saturating_sub(all.mem - spare.mem);
                 }
                 let chosen = victims(soon, shape.need, shape.wire.priority, cands);
                 let Some((keys, loss)) = chosen else { continue };
@@ -399,21 +423,7 @@
                 let Some((kind, zone)) = self.usable(ctx, m, w) else { continue };
                 let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job)) else { continue };
                 let whole = ctx.names.room_of_type(kind);
-                let mut left = free;
-                if shape.need.gpu == 0 && whole.gpu > 0 {
-                    // Work without GPUs leaves room for the GPU work that is known.
-                    for &(cpu, gpu, mem) in self.gpu_work.keys() {
-                        let n = Room { cpu, gpu, mem };
-                        let k = free.fits(n);
-                        if k > 0 {
-                            let mut f = free;
-                            f.sub(n, k);
-                            left.cpu = left.cpu.min(f.cpu);
-                            left.mem = left.mem.min(f.mem);
-                        }
-                    }
-                }
-                free = left;
+                free = self.spare(free, whole, shape.need);
                 let n = free.fits(shape.need);
                 if n == 0 {
                     continue;
