--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -8,6 +8,7 @@
 use leaddeal_wire::mesh::{
     AttemptRef, MachineInfo, Offer, Phase, Pick, SeatMsg, TaskEvent, Wanted,
 };
+use leaddeal_wire::user::Kind;
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -318,11 +319,11 @@
         (usable && ctx.names.allows(&w.shape, kind, m.spot)).then_some((kind, zone))
     }
 
-    /// What work may use of a machine's free room: work without GPUs leaves enough for the GPU
-    /// work that is known.
-    fn spare(&self, free: Room, whole: Room, need: Room) -> Room {
+    /// What work may use of a machine's free room: services, which stay, leave enough for the
+    /// GPU work that is known. Tasks that end make way in time (see `make_room`).
+    fn spare(&self, free: Room, whole: Room, shape: &Shape) -> Room {
         let mut left = free;
-        if need.gpu == 0 && whole.gpu > 0 {
+        if shape.need.gpu == 0 && whole.gpu > 0 && shape.wire.kind == Kind::Service {
             for &(cpu, gpu, mem) in self.gpu_work.keys() {
                 let n = Room { cpu, gpu, mem };
                 let mut f = free;
@@ -339,6 +340,9 @@
         let now = ctx.now;
         let job = JobId(w.job);
         let have = self.claims.iter().filter(|c| c.job == job).count() as u32;
+        for c in self.claims.iter_mut().filter(|c| c.job == job) {
+            c.until = c.until.max(now + 3000);
+        }
         for _ in have..count.min(have + 32) {
             let mut best: Option<(u64, bool, MachineIdx, Vec<Key>)> = None;
             for (&idx, m) in &self.machines {
@@ -378,12 +382,39 @@
                     for c in &cands {
                         all.add(c.need, 1);
                     }
-                    let spare = self.spare(all, whole, shape.need);
+                    let spare = self.spare(all, whole, shape);
                     soon.cpu = soon.cpu.saturating_sub(all.cpu - spare.cpu);
                     soon.mem = soon.mem.saturating_sub(all.mem - spare.mem);
                 }
                 let chosen = victims(soon, shape.need, shape.wire.priority, cands);
-                let Some((keys, loss)) = chosen else { continue };
+                let (keys, loss) = match chosen {
+                    Some(c) => c,
+                    // Nobody may be stopped for it, but who is there will be done some time:
+                    // set the machine aside for it, so that the room does not go to others in
+                    // small pieces as it becomes free.
+                    None if shape.wire.kind == Kind::Gang || w.shape.gpu > 0 => {
+                        let whole = ctx.names.room_of_type(kind);
+                        let lasting = self
+                            .machines
+                            .get(&idx)
+                            .into_iter()
+                            .flat_map(|m| m.tasks.values())
+                            .filter(|t| !t.over())
+                            .filter_map(|t| t.shape.as_ref())
+                            .filter(|s| s.wire.kind == Kind::Service || s.need.gpu > 0);
+                        let mut later = whole;
+                        lasting.for_each(|s| later.sub(s.need, 1));
+                        for c in self.claims.iter().filter(|c| c.machine == idx) {
+                            later.sub(c.need, 1);
+                        }
+                        if later.fits(shape.need) == 0 {
+                            continue;
+                        }
+                        let busy = whole.cpu.saturating_sub(soon.cpu);
+                        (Vec::new(), 1 << 50 | busy)
+                    }
+                    None => continue,
+                };
                 let far = !m.has_image(shape.image);
                 if best.as_ref().is_none_or(|b| (loss, far) < (b.0, b.1)) {
                     best = Some((loss, far, idx, keys));
@@ -423,7 +454,7 @@
                 let Some((kind, zone)) = self.usable(ctx, m, w) else { continue };
                 let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job)) else { continue };
                 let whole = ctx.names.room_of_type(kind);
-                free = self.spare(free, whole, shape.need);
+                free = self.spare(free, whole, &shape);
                 let n = free.fits(shape.need);
                 if n == 0 {
                     continue;
