--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -2,7 +2,7 @@
 use crate::bits::CHUNK;
 use crate::ids::{Attempt, Epoch, JobId, Negotiation, Now, Seat, ZoneIdx};
 use crate::io::{ReqId, StoreCall, StoreResult, UserReply};
-use crate::jobs::{wire_shape, Job, Placement};
+use crate::jobs::{wire_shape, Aims, Job, Placement};
 use crate::node::{Ctx, OpKind};
 use crate::seat::seat_key;
 use leaddeal_wire::mesh::{
@@ -36,6 +36,8 @@
     asked: Vec<Seat>,
     waiting: BTreeSet<Seat>,
     offers: Vec<(Seat, Offer)>,
+    /// Items for which a part is making room.
+    coming: BTreeSet<u16>,
     started: Now,
 }
 
@@ -327,7 +329,7 @@
     // ---- the ordinary path ---------------------------------------------------------------
 
     /// Jobs that may have a task placed now, the most important first.
-    fn order(&self, now: Now) -> Vec<JobId> {
+    fn order(&self, aims: &Aims, now: Now) -> Vec<JobId> {
         let mut v: Vec<_> = self
             .jobs
             .values()
@@ -336,17 +338,12 @@
             })
             .filter(|j| j.wire.kind != Kind::Gang || j.placed.is_empty())
             .map(|j| {
-                let due = j.wire.deadline_s.map(|d| j.created + (d * 1000.0) as u64);
-                (
-                    std::cmp::Reverse(j.wire.priority),
-                    due.unwrap_or(j.created + 600_000),
-                    j.created,
-                    j.id,
-                )
+                let (late, due) = j.urgency(aims, now);
+                (std::cmp::Reverse(j.wire.priority), late, due, j.created, j.id)
             })
             .collect();
         v.sort_unstable();
-        v.into_iter().take(ITEMS).map(|x| x.3).collect()
+        v.into_iter().take(ITEMS).map(|x| x.4).collect()
     }
 
     pub fn start_round(&mut self, ctx: &mut Ctx) {
@@ -358,7 +355,7 @@
         {
             return;
         }
-        let ids = self.order(ctx.now);
+        let ids = self.order(&ctx.cfg.aims, ctx.now);
         if ids.is_empty() {
             return;
         }
@@ -370,7 +367,8 @@
         for id in ids {
             let j = &self.jobs[&id];
             let zone_room = j.zone_room(&ctx.names.zones);
-            let mut count = j.pending().min(most - total);
+            // No job takes the whole round: others may fit where it does not.
+            let mut count = j.pending().min(most - total).min(most / 3 + 1);
             if j.wire.kind == Kind::Gang {
                 if j.pending() > most - total {
                     continue;
@@ -414,6 +412,7 @@
             waiting: asked.iter().copied().collect(),
             asked,
             offers: Vec::new(),
+            coming: BTreeSet::new(),
             started: ctx.now,
         });
         self.check_talk(ctx);
@@ -482,13 +481,16 @@
             if picks.is_empty() || !whole {
                 j.refusals += 1;
                 let urgent = j.wire.priority > user::Priority::Low && j.refusals < 12;
-                j.make_room = Some(j.make_room.map_or(0, |t| t + 1));
+                // Whoever is making room is asked on; else it is the next one's turn.
+                let step = u32::from(!talk.coming.contains(&(i as u16)));
+                j.make_room = Some(j.make_room.map_or(0, |t| t + step));
                 j.not_before = now + if urgent { 150 } else { 900 };
                 continue;
             }
             j.refusals = 0;
             let short = (picks.len() as u32) < want;
-            j.make_room = short.then(|| j.make_room.map_or(0, |t| t + 1));
+            let step = u32::from(!talk.coming.contains(&(i as u16)));
+            j.make_room = short.then(|| j.make_room.map_or(0, |t| t + step));
             for (seat, offer) in picks {
                 let Some(task) = j.take() else { break };
                 choices.push(Choice { job: id, task, seat, offer });
@@ -635,13 +637,14 @@
 
     pub fn handle(&mut self, ctx: &mut Ctx, from: Seat, msg: SeatMsg) {
         match msg {
-            SeatMsg::Offers { negotiation, offers } => {
+            SeatMsg::Offers { negotiation, offers, coming } => {
                 let current = self
                     .talk
                     .as_mut()
                     .filter(|t| t.id.0 == negotiation)
                     .is_some_and(|t| t.waiting.remove(&from));
                 if let Some(t) = self.talk.as_mut().filter(|_| current) {
+                    t.coming.extend(coming);
                     t.offers.extend(offers.into_iter().map(|o| (from, o)));
                 } else {
                     // Too late: a no is due once the negotiation is over.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -3,8 +3,9 @@
 use crate::ids::{Attempt, JobId, MachineIdx, Now, ZoneIdx};
 use crate::names::Shape;
 use leaddeal_wire::mesh::{self, Phase};
+use leaddeal_wire::settings::Objective;
 use leaddeal_wire::user::{self, JobState, Kind, Status};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 #[derive(Clone, Debug)]
@@ -50,6 +51,36 @@
     pub cancel_reqs: Vec<u64>,
 }
 
+/// What the users ask for, by class: limits in milliseconds from the submission.
+#[derive(Clone, Debug, Default)]
+pub struct Aims {
+    by_class: HashMap<String, ClassAims>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ClassAims {
+    start: Vec<f64>,
+    finish: Vec<f64>,
+    /// Multiples of the job's own deadline.
+    deadline: Vec<f64>,
+}
+
+impl Aims {
+    pub fn new(objectives: &[Objective]) -> Aims {
+        let mut a = Aims::default();
+        for o in objectives {
+            let c = a.by_class.entry(o.class.clone()).or_default();
+            match (o.kind.as_str(), o.within_s) {
+                ("wait", Some(w)) => c.start.push(w * 1000.0),
+                ("finished", Some(w)) => c.finish.push(w * 1000.0),
+                ("deadline", _) => c.deadline.push(o.times.unwrap_or(1.0)),
+                _ => {}
+            }
+        }
+        a
+    }
+}
+
 pub fn wire_shape(j: &user::Job) -> mesh::Shape {
     let up = |v: f64| (v * 1000.0 - 1e-6).ceil().max(0.0) as u64;
     mesh::Shape {
@@ -121,6 +152,28 @@
         j
     }
 
+    /// Which of its aims come next: how many were missed already, and the latest start that
+    /// meets the next one. What is late makes way for what can still be in time.
+    pub fn urgency(&self, aims: &Aims, now: Now) -> (u8, Now) {
+        let none = ClassAims::default();
+        let a = aims.by_class.get(&self.wire.class).unwrap_or(&none);
+        let run = self.wire.estimate_s * 1200.0;
+        let mut starts: Vec<f64> = a.start.clone();
+        starts.extend(a.finish.iter().map(|f| f - run));
+        if let Some(d) = self.wire.deadline_s {
+            let d = d * 1000.0;
+            if a.deadline.is_empty() {
+                starts.push(d - run);
+            }
+            starts.extend(a.deadline.iter().map(|t| d * t - run));
+        }
+        starts.sort_by(f64::total_cmp);
+        let age = now.saturating_sub(self.created) as f64;
+        let missed = starts.iter().filter(|&&s| s < age).count();
+        let next = starts.get(missed).copied().unwrap_or(600_000.0);
+        (missed as u8, self.created + next.max(0.0) as u64)
+    }
+
     pub fn pending(&self) -> u32 {
         self.wire.tasks - self.done.len() - self.placed.len() as u32
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,7 +6,7 @@
     CloudCall, CloudResult, DirectOutcome, Input, OpId, Out, Output, ReqId, StoreCall, StoreResult,
     UserReply, WorkerReply,
 };
-use crate::jobs::wire_shape;
+use crate::jobs::{wire_shape, Aims};
 use crate::names::{Names, Room};
 use crate::participant::Part;
 use crate::seat::{at_least, parse_seat_key, seat_key, Lease, Owner, SeatView, LEASE_MS, RENEW_MS};
@@ -36,6 +36,7 @@
     pub txn_ops: usize,
     pub list_lag_ms: u64,
     pub teams: Vec<leaddeal_wire::settings::Team>,
+    pub aims: Aims,
 }
 
 /// Share of the store's changes per second that is this node's own.
@@ -301,6 +302,7 @@
                 txn_ops: p.state.txn_ops,
                 list_lag_ms: (p.cloud.list_lag_s * 1000.0) as u64,
                 teams: p.teams.clone(),
+                aims: Aims::new(&p.objectives),
             },
             names,
             budget: Budget {
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -15,6 +15,8 @@
 /// Answers to a report name at most this many commands.
 const ORDERS: usize = 150;
 const SHUN_MS: u64 = 60_000;
+/// Losses from here on mean that nothing is stopped, and room becomes free by itself.
+const PATIENT: u64 = 1 << 50;
 
 #[derive(Clone, Debug)]
 struct Hold {
@@ -33,6 +35,8 @@
     machine: MachineIdx,
     need: Room,
     until: Now,
+    /// Waits for tasks to end by themselves.
+    patient: bool,
 }
 
 #[derive(Debug)]
@@ -346,6 +350,10 @@
         for _ in have..count.min(have + 32) {
             let mut best: Option<(u64, bool, MachineIdx, Vec<Key>)> = None;
             for (&idx, m) in &self.machines {
+                // Set aside for work that waits for it: not taken from under it.
+                if self.claims.iter().any(|c| c.machine == idx && c.patient && c.job != job) {
+                    continue;
+                }
                 let Some((kind, zone)) = self.usable(ctx, m, w) else { continue };
                 if zones.get(zone.0 as usize).is_none_or(|&r| r == 0) {
                     continue;
@@ -411,7 +419,7 @@
                             continue;
                         }
                         let busy = whole.cpu.saturating_sub(soon.cpu);
-                        (Vec::new(), 1 << 50 | busy)
+                        (Vec::new(), PATIENT + busy)
                     }
                     None => continue,
                 };
@@ -420,7 +428,9 @@
                     best = Some((loss, far, idx, keys));
                 }
             }
-            let Some((_, _, idx, keys)) = best else { return };
+            let Some((loss, _, idx, keys)) = best else { return };
+            let patient = loss >= PATIENT;
+
             let mut until = now + 3000;
             let Some(m) = self.machines.get_mut(&idx) else { return };
             for k in keys {
@@ -433,7 +443,7 @@
                 until = until.max(now + 3000 + (grace_s * 1000.0) as u64);
                 t.stop = Some(StopWish { grace_s, since: now });
             }
-            self.claims.push(Claim { job, machine: idx, need: shape.need, until });
+            self.claims.push(Claim { job, machine: idx, need: shape.need, until, patient });
             self.dirty.insert(idx);
         }
     }
@@ -441,6 +451,7 @@
     fn offer(&mut self, ctx: &mut Ctx, from: Seat, negotiation: Negotiation, items: &[Wanted]) {
         let now = ctx.now;
         let mut offers = Vec::new();
+        let mut coming = Vec::new();
         self.gpu_work.retain(|_, t| *t + 300_000 > now);
         self.claims.retain(|c| c.until > now);
         for (i, w) in items.iter().enumerate() {
@@ -499,9 +510,12 @@
             }
             if w.make_room && wanted > 0 {
                 self.make_room(ctx, w, &shape, wanted, &zone_room);
+                if self.claims.iter().any(|c| c.job.0 == w.job) {
+                    coming.push(i as u16);
+                }
             }
         }
-        ctx.send(self.seat, from, SeatMsg::Offers { negotiation: negotiation.0, offers });
+        ctx.send(self.seat, from, SeatMsg::Offers { negotiation: negotiation.0, offers, coming });
     }
 
     /// Tells the coordinators what changed, and commands the workers.
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -141,9 +141,11 @@
         what: AttemptRef,
     },
     /// Participant to coordinator.
+    /// `coming`: items for which room is being made here.
     Offers {
         negotiation: u64,
         offers: Vec<Offer>,
+        coming: Vec<u16>,
     },
     AskDecision {
         negotiation: u64,
