--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -344,8 +344,14 @@
         let now = ctx.now;
         let job = JobId(w.job);
         let have = self.claims.iter().filter(|c| c.job == job).count() as u32;
-        for c in self.claims.iter_mut().filter(|c| c.job == job) {
-            c.until = c.until.max(now + 3000);
+        let machines = &self.machines;
+        for c in self.claims.iter_mut().filter(|c| c.job == job && c.patient) {
+            let m = machines.get(&c.machine);
+            let zone = m.and_then(|m| m.zone);
+            let room = zone.and_then(|z| zones.get(z.0 as usize)).copied().unwrap_or(0);
+            if room > 0 && m.is_some_and(|m| !m.lapsed && m.notice.is_none()) {
+                c.until = now + 3000;
+            }
         }
         for _ in have..count.min(have + 32) {
             let mut best: Option<(u64, bool, MachineIdx, Vec<Key>)> = None;
@@ -510,7 +516,8 @@
             }
             if w.make_room && wanted > 0 {
                 self.make_room(ctx, w, &shape, wanted, &zone_room);
-                if self.claims.iter().any(|c| c.job.0 == w.job) {
+                let claims = self.claims.iter().filter(|c| c.job.0 == w.job).count();
+                if claims as u32 >= wanted {
                     coming.push(i as u16);
                 }
             }
