--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -2,7 +2,7 @@
 use crate::bits::CHUNK;
 use crate::ids::{Attempt, Epoch, JobId, Negotiation, Now, Seat, ZoneIdx};
 use crate::io::{ReqId, StoreCall, StoreResult, UserReply};
-use crate::jobs::{wire_shape, Aims, Job, Placement};
+use crate::jobs::{wire_shape, Aims, DoneOn, Job, Placement};
 use crate::names::Room;
 use crate::node::{Ctx, OpKind};
 use crate::seat::seat_key;
@@ -23,6 +23,9 @@
 const RESEND_MS: u64 = 2000;
 const FOLD_MS: u64 = 300;
 
+/// What a part is told yes to, for a job: its shape and the picks.
+type Yes = (Arc<WireShape>, Vec<Pick>);
+
 #[derive(Debug)]
 enum Load {
     Decisions,
@@ -68,7 +71,7 @@
 #[derive(Debug)]
 struct Fold {
     chunks: Vec<(JobId, Vec<u32>)>,
-    acks: Vec<(JobId, Vec<(u32, Attempt, crate::ids::MachineIdx, u64)>)>,
+    acks: Vec<(JobId, Vec<DoneOn>)>,
     finals: Vec<(JobId, Status)>,
     rounds: Vec<String>,
 }
@@ -631,7 +634,7 @@
     fn winners(&mut self, ctx: &mut Ctx) {
         let Some(w) = self.writing.take() else { return };
         self.rounds.insert(w.round, (w.key.clone(), 0));
-        let mut yes: BTreeMap<(Seat, JobId), (Arc<WireShape>, Vec<Pick>)> = BTreeMap::new();
+        let mut yes: BTreeMap<(Seat, JobId), Yes> = BTreeMap::new();
         for c in w.choices {
             let Some(j) = self.jobs.get_mut(&c.job) else {
                 continue;
@@ -794,8 +797,13 @@
     fn event(&mut self, ctx: &mut Ctx, from: Seat, e: TaskEvent) {
         let now = ctx.now;
         let id = JobId(e.job);
-        let what =
-            AttemptRef { job: e.job, task: e.task, attempt: e.attempt, machine: e.machine.clone() };
+        let what = AttemptRef {
+            job: e.job,
+            task: e.task,
+            attempt: e.attempt,
+            machine: e.machine.clone(),
+            session: None,
+        };
         let over = matches!(e.phase, Phase::Exited(..) | Phase::Gone);
         let known = self.jobs.get(&id).and_then(|j| j.placed.get(&e.task)).is_some_and(|p| {
             p.attempt.0 == e.attempt && ctx.names.machine_name(p.machine) == e.machine
@@ -998,17 +1006,12 @@
 
     // ---- folding -------------------------------------------------------------------------
 
-    fn acknowledge(
-        &mut self,
-        ctx: &mut Ctx,
-        id: JobId,
-        acks: Vec<(u32, Attempt, crate::ids::MachineIdx, u64)>,
-    ) {
+    fn acknowledge(&mut self, ctx: &mut Ctx, id: JobId, acks: Vec<DoneOn>) {
         for (task, attempt, m, round) in acks {
             self.round_less(round);
             let machine = ctx.names.machine_name(m).to_string();
             let seat = ctx.seat_of_machine(&machine);
-            let what = AttemptRef { job: id.0, task, attempt: attempt.0, machine };
+            let what = AttemptRef { job: id.0, task, attempt: attempt.0, machine, session: None };
             ctx.send(self.seat, seat, SeatMsg::Forget { what });
         }
     }
@@ -1131,7 +1134,7 @@
         }
         self.next_resend = ctx.now + 500;
         let now = ctx.now;
-        let mut yes: BTreeMap<(Seat, JobId, bool), (Arc<WireShape>, Vec<Pick>)> = BTreeMap::new();
+        let mut yes: BTreeMap<(Seat, JobId, bool), Yes> = BTreeMap::new();
         let mut stops = Vec::new();
         let mut fresh = Vec::new();
         for s in ctx.seats() {
@@ -1150,7 +1153,13 @@
                     if renew || now >= *sent + RESEND_MS {
                         *sent = now;
                         let machine = machine.to_string();
-                        let what = AttemptRef { job: id.0, task, attempt, machine };
+                        let what = AttemptRef {
+                            job: id.0,
+                            task,
+                            attempt,
+                            machine,
+                            session: Some(p.session),
+                        };
                         stops.push((seat, SeatMsg::Stop { what, grace_s: *grace_s }));
                     }
                     continue;
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -28,6 +28,9 @@
     pub team: Option<(u8, u64, u64)>,
 }
 
+/// A task's completion: task, attempt, machine, round.
+pub type DoneOn = (u32, Attempt, MachineIdx, u64);
+
 #[derive(Clone, Debug)]
 pub struct Job {
     pub id: JobId,
@@ -48,8 +51,8 @@
     /// Durable and told: no task of it may start any more.
     pub cancelled: bool,
     pub dirty: BTreeSet<u32>,
-    /// Done events to be acknowledged once they are durable: (task, attempt, machine, round).
-    pub unfolded: Vec<(u32, Attempt, MachineIdx, u64)>,
+    /// Done events to be acknowledged once they are durable.
+    pub unfolded: Vec<DoneOn>,
     /// Being written as final.
     pub finishing: Option<Status>,
     pub cancel_reqs: Vec<u64>,
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -291,12 +291,21 @@
         let now = ctx.now;
         let idx = ctx.names.machine(&what.machine);
         let m = self.machine(idx);
-        let session = m.session;
         let (confirmed, released) = (m.confirmed, m.released || m.lapsed);
-        let t = m
-            .tasks
-            .entry((JobId(what.job), what.task, Attempt(what.attempt)))
-            .or_insert_with(|| TaskOn::new(None, Phase::Decided, session));
+        let key = (JobId(what.job), what.task, Attempt(what.attempt));
+        let t = match (m.tasks.get_mut(&key), what.session) {
+            (Some(t), _) => t,
+            // Under the session it was decided for: before the machine's first report to us, a
+            // guess would make the attempt look like one of an ended session. (Found by the
+            // simulator: a running task was called gone.)
+            (None, Some(session)) => {
+                m.tasks.entry(key).or_insert(TaskOn::new(None, Phase::Decided, session))
+            }
+            (None, None) => return,
+        };
+        if t.session < m.session && t.phase == Phase::Decided {
+            t.phase = Phase::Gone;
+        }
         if t.stop.is_none_or(|s| s.grace_s > grace_s) {
             t.stop = Some(StopWish { grace_s, since: now });
         }
--- a/crates/core/src/teams.rs
+++ b/crates/core/src/teams.rs
@@ -20,13 +20,16 @@
     Seat((team as usize % seats) as u8)
 }
 
+/// By team: thousandths of cores and GPUs.
+type Shares = BTreeMap<u8, (u64, u64)>;
+
 /// The books of a team's seat.
 #[derive(Debug)]
 pub struct Desk {
     seat: Seat,
     limits: Vec<Option<(u64, u64)>>,
     /// By coordinator's seat: its epoch, and what each team may take there.
-    shares: BTreeMap<Seat, (Epoch, BTreeMap<u8, (u64, u64)>)>,
+    shares: BTreeMap<Seat, (Epoch, Shares)>,
     seats: usize,
 }
 
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -521,7 +521,7 @@
             Ev::Up(what) => {
                 let mut p = what.split(' ');
                 if let (Some(name), Some(zone), Some(spot)) = (p.next(), p.next(), p.next()) {
-                    self.boot_machine(&name.to_string(), &zone.to_string(), spot == "true");
+                    self.boot_machine(name, zone, spot == "true");
                 }
             }
             Ev::Restart(n) => self.start(n),
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -91,6 +91,8 @@
     pub task: u32,
     pub attempt: u64,
     pub machine: String,
+    /// The worker's session that it was decided for, where the sender knows it.
+    pub session: Option<u64>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
