--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -5,7 +5,6 @@
 use crate::node::{Ctx, OpKind};
 use leaddeal_wire::cloud::{Listed, ListedStatus, Rent};
 use leaddeal_wire::mesh::{Lack, MachineInfo, SeatMsg};
-use leaddeal_wire::user::Priority;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The seat whose owner buys for all.
@@ -120,11 +119,16 @@
     }
 
     fn is_base(&self, machine: &str) -> bool {
-        self.base
-            .as_ref()
-            .is_some_and(|b| machine.len() < b.len() || (machine.len() == b.len() && machine <= b))
+        self.base.as_ref().is_some_and(|b| older(machine, b))
     }
+}
+
+/// Machines are named in the order of their creation.
+pub fn older(machine: &str, newest: &str) -> bool {
+    (machine.len(), machine) <= (newest.len(), newest)
+}
 
+impl Buyer {
     pub fn cloud(&mut self, ctx: &mut Ctx, what: BuyerOp, result: CloudResult) {
         let now = ctx.now;
         match (what, result) {
@@ -323,6 +327,11 @@
         }
         self.refused.retain(|_, t| *t > now);
         self.return_idle(ctx);
+        if let Some(base) = &self.base {
+            for s in ctx.seats() {
+                ctx.send(BUYER_SEAT, s, SeatMsg::Base { newest: base.clone() });
+            }
+        }
         if self.asked.is_some() {
             return;
         }
@@ -366,26 +375,6 @@
     /// The cheapest way to get room for `left` tasks.
     fn choose(&mut self, ctx: &Ctx, l: &Lack, need: Room, left: u64) -> Option<Rent> {
         let mut best: Option<(f64, Rent)> = None;
-        // What one task's place costs at best, whether it can be had now or not. Work that can
-        // wait does not pay many times as much.
-        let fair = ctx
-            .names
-            .catalog
-            .iter()
-            .enumerate()
-            .filter_map(|(i, t)| {
-                let idx = crate::ids::TypeIdx(i as u8);
-                let fits = ctx.names.room_of_type(idx).fits(need);
-                let ok = fits > 0 && ctx.names.allows(&l.shape, idx, false);
-                ok.then_some(t.price / fits as f64)
-            })
-            .fold(f64::INFINITY, f64::min);
-        let patience = match l.shape.priority {
-            Priority::Low => 1.5,
-            Priority::Normal => 2.0,
-            Priority::High => 3.0,
-            Priority::Production => 8.0,
-        };
         for (i, t) in ctx.names.catalog.iter().enumerate() {
             let idx = crate::ids::TypeIdx(i as u8);
             let fits = ctx.names.room_of_type(idx).fits(need);
@@ -405,13 +394,13 @@
                         continue;
                     }
                     let price = if spot { t.spot_price * 1.15 } else { t.price };
-                    if price / fits as f64 > fair * patience {
+                    if !ctx.names.affordable(&l.shape, need, idx, spot) {
                         continue;
                     }
                     let used = fits.min(room);
                     let cost = price / used as f64;
                     if best.as_ref().is_none_or(|b| cost < b.0) {
-                        let count = room.div_ceil(fits).clamp(1, 4) as u32;
+                        let count = room.div_ceil(fits).clamp(1, 8) as u32;
                         let rent = Rent {
                             request: String::new(),
                             type_name: t.name.clone(),
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -2,6 +2,7 @@
 use crate::ids::{ImageIdx, MachineIdx, TypeIdx, ZoneIdx};
 use leaddeal_wire::cloud::{Catalog, MachineType};
 use leaddeal_wire::mesh;
+use leaddeal_wire::user::Priority;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -126,6 +127,34 @@
         }
     }
 
+    /// Price of a machine per hour, as a spot one or an ordinary one.
+    pub fn price(&self, t: TypeIdx, spot: bool) -> f64 {
+        let t = &self.catalog[t.0 as usize];
+        // Spot machines may be taken back: their price counts for somewhat more.
+        if spot {
+            t.spot_price * 1.15
+        } else {
+            t.price
+        }
+    }
+
+    /// Whether a task's place on such a machine costs no more than it is worth: a multiple of
+    /// the cheapest place there is, whether that can be had now or not.
+    pub fn affordable(&self, shape: &mesh::Shape, need: Room, t: TypeIdx, spot: bool) -> bool {
+        let place = |t: TypeIdx, spot| {
+            let fits = self.room_of_type(t).fits(need);
+            (fits > 0 && self.allows(shape, t, spot)).then(|| self.price(t, spot) / fits as f64)
+        };
+        let types = (0..self.catalog.len()).map(|i| TypeIdx(i as u8));
+        let fair = types.filter_map(|t| place(t, false)).fold(f64::INFINITY, f64::min);
+        let patience = match shape.priority {
+            Priority::Low => 1.5,
+            Priority::Normal | Priority::High => 4.5,
+            Priority::Production => 8.0,
+        };
+        place(t, spot).is_some_and(|p| p <= fair * patience)
+    }
+
     /// Whether a task of this shape may run on this type and kind of machine at all.
     pub fn allows(&self, shape: &mesh::Shape, t: TypeIdx, spot: bool) -> bool {
         if spot && !shape.spot {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -457,6 +457,11 @@
                     c.send(to, BUYER_SEAT, SeatMsg::Drained { machine });
                 }
             }
+            SeatMsg::Base { newest } => {
+                if from == BUYER_SEAT {
+                    o.part.base = Some(newest);
+                }
+            }
             SeatMsg::Undrain { machine } => o.part.undrain(&mut c, &machine),
             SeatMsg::Released { machine } => {
                 if from == BUYER_SEAT {
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -1,4 +1,5 @@
 //! A seat's machines: holds room, offers it, starts what was decided, and proves what is gone.
+use crate::buyer::older;
 use crate::fleet::{Key, Machine, StopWish, TaskOn};
 use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, TypeIdx, ZoneIdx};
 use crate::names::{Names, Room, Shape};
@@ -45,6 +46,8 @@
     pub epoch: Epoch,
     pub since: Now,
     pub machines: BTreeMap<MachineIdx, Machine>,
+    /// Machines up to this name are the operator's own.
+    pub base: Option<String>,
     holds: Vec<Hold>,
     claims: Vec<Claim>,
     asked_at: Now,
@@ -63,6 +66,7 @@
             epoch,
             since: now,
             machines: BTreeMap::new(),
+            base: None,
             holds: Vec::new(),
             claims: Vec::new(),
             asked_at: now,
@@ -331,7 +335,13 @@
     }
 
     /// Whether a machine may get work of this job at all, now.
-    fn usable(&self, ctx: &Ctx, m: &Machine, w: &Wanted) -> Option<(TypeIdx, ZoneIdx)> {
+    fn usable(
+        &self,
+        ctx: &Ctx,
+        idx: MachineIdx,
+        m: &Machine,
+        w: &Wanted,
+    ) -> Option<(TypeIdx, ZoneIdx)> {
         let now = ctx.now;
         let usable = !m.draining
             && !m.released
@@ -342,6 +352,26 @@
             && now < m.heard + ctx.cfg.quiet_ms
             && !m.failed.iter().any(|f| f.0 .0 == w.job && f.1 + SHUN_MS > now);
         let (kind, zone) = (m.kind?, m.zone?);
+        // Cheap work does not keep a machine that is dear for it, unless that is paid anyway:
+        // for the GPU work on it, or because it is never returned.
+        let dear = |need: Room| {
+            let whole = ctx.names.room_of_type(kind);
+            let gpu_work = || {
+                let on = |t: &TaskOn| t.shape.as_ref().is_some_and(|s| s.need.gpu > 0);
+                m.tasks.values().any(|t| !t.over() && on(t))
+            };
+            let own = || {
+                let name = ctx.names.machine_name(idx);
+                self.base.as_ref().is_some_and(|b| older(name, b))
+            };
+            need.gpu == 0
+                && whole.gpu > 0
+                && !ctx.names.affordable(&w.shape, need, kind, m.spot)
+                && !gpu_work()
+                && !own()
+        };
+        let need = Room { cpu: w.shape.cpu, gpu: w.shape.gpu, mem: w.shape.mem };
+        let usable = usable && !dear(need);
         (usable && ctx.names.allows(&w.shape, kind, m.spot)).then_some((kind, zone))
     }
 
@@ -382,7 +412,7 @@
                 if self.claims.iter().any(|c| c.machine == idx && c.patient && c.job != job) {
                     continue;
                 }
-                let Some((kind, zone)) = self.usable(ctx, m, w) else { continue };
+                let Some((kind, zone)) = self.usable(ctx, idx, m, w) else { continue };
                 if zones.get(zone.0 as usize).is_none_or(|&r| r == 0) {
                     continue;
                 }
@@ -452,6 +482,10 @@
                     None => continue,
                 };
                 let far = !m.has_image(shape.image);
+                // Waiting for the image, too, is lost time.
+                let rate = ctx.names.catalog[kind.0 as usize].fetch_gb_per_s.max(0.01);
+                let fetch_s = if far { w.shape.image_gb / rate } else { 0.0 };
+                let loss = loss + (fetch_s * 3.0) as u64 * shape.need.cpu;
                 if best.as_ref().is_none_or(|b| (loss, far) < (b.0, b.1)) {
                     best = Some((loss, far, idx, keys));
                 }
@@ -490,7 +524,7 @@
             }
             let mut choices = Vec::new();
             for (&idx, m) in &self.machines {
-                let Some((kind, zone)) = self.usable(ctx, m, w) else { continue };
+                let Some((kind, zone)) = self.usable(ctx, idx, m, w) else { continue };
                 let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job)) else { continue };
                 let whole = ctx.names.room_of_type(kind);
                 free = self.spare(free, whole, &shape);
@@ -500,6 +534,8 @@
                 }
                 let cached = m.has_image(shape.image);
                 let gpu_waste = shape.need.gpu == 0 && whole.gpu > 0;
+                // Machines that GPU work of any kind may use are the last resort.
+                let gpu_waste = u8::from(gpu_waste) + u8::from(gpu_waste && !m.spot);
                 choices.push((gpu_waste, !cached, -(free.cpu as i64), idx, zone, n, m.session));
             }
             choices.sort_unstable();
@@ -530,7 +566,7 @@
                     zone: zone.0,
                     count,
                     cached: !uncached,
-                    score: -neg_free - if gpu_waste { 1_000_000 } else { 0 },
+                    score: -neg_free - 1_000_000 * i64::from(gpu_waste),
                 });
                 if wanted == 0 {
                     break;
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -186,6 +186,10 @@
     Machines {
         machines: Vec<MachineInfo>,
     },
+    /// Machines up to this name are the operator's own and stay.
+    Base {
+        newest: String,
+    },
     Drain {
         machine: String,
     },
