--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -394,7 +394,7 @@
                         continue;
                     }
                     let price = if spot { t.spot_price * 1.15 } else { t.price };
-                    if !ctx.names.affordable(&l.shape, need, idx, spot) {
+                    if !ctx.names.affordable(&l.shape, need, idx, spot, l.pressing) {
                         continue;
                     }
                     let used = fits.min(room);
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -407,6 +407,7 @@
                 count,
                 zone_room,
                 make_room: false,
+                pressing: j.pressing(&ctx.cfg.aims, ctx.now),
             });
         }
         if items.is_empty() {
@@ -1245,6 +1246,7 @@
                 count: j.pending(),
                 zone_room: j.zone_room(&ctx.names.zones),
                 waited_ms: ctx.now.saturating_sub(j.created),
+                pressing: j.pressing(&ctx.cfg.aims, ctx.now),
             })
             .collect()
     }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -181,6 +181,12 @@
         (missed as u8, self.created + next.max(0.0) as u64)
     }
 
+    /// More than half of the time to its next aim is over.
+    pub fn pressing(&self, aims: &Aims, now: Now) -> bool {
+        let (_, due) = self.urgency(aims, now);
+        now.saturating_sub(self.created) > due.saturating_sub(self.created) / 2
+    }
+
     pub fn pending(&self) -> u32 {
         self.wire.tasks - self.done.len() - self.placed.len() as u32
     }
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -140,7 +140,14 @@
 
     /// Whether a task's place on such a machine costs no more than it is worth: a multiple of
     /// the cheapest place there is, whether that can be had now or not.
-    pub fn affordable(&self, shape: &mesh::Shape, need: Room, t: TypeIdx, spot: bool) -> bool {
+    pub fn affordable(
+        &self,
+        shape: &mesh::Shape,
+        need: Room,
+        t: TypeIdx,
+        spot: bool,
+        pressing: bool,
+    ) -> bool {
         let place = |t: TypeIdx, spot| {
             let fits = self.room_of_type(t).fits(need);
             (fits > 0 && self.allows(shape, t, spot)).then(|| self.price(t, spot) / fits as f64)
@@ -148,7 +155,8 @@
         let types = (0..self.catalog.len()).map(|i| TypeIdx(i as u8));
         let fair = types.filter_map(|t| place(t, false)).fold(f64::INFINITY, f64::min);
         let patience = match shape.priority {
-            Priority::Low => 1.5,
+            Priority::Low if !pressing => 1.5,
+            Priority::Low => 3.5,
             Priority::Normal | Priority::High => 4.5,
             Priority::Production => 8.0,
         };
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -366,7 +366,7 @@
             };
             need.gpu == 0
                 && whole.gpu > 0
-                && !ctx.names.affordable(&w.shape, need, kind, m.spot)
+                && !ctx.names.affordable(&w.shape, need, kind, m.spot, w.pressing)
                 && !gpu_work()
                 && !own()
         };
@@ -536,12 +536,15 @@
                 let gpu_waste = shape.need.gpu == 0 && whole.gpu > 0;
                 // Machines that GPU work of any kind may use are the last resort.
                 let gpu_waste = u8::from(gpu_waste) + u8::from(gpu_waste && !m.spot);
-                choices.push((gpu_waste, !cached, -(free.cpu as i64), idx, zone, n, m.session));
+                // Of machines without the image, those that have it sooner, in steps of 4 s.
+                let rate = ctx.names.catalog[kind.0 as usize].fetch_gb_per_s.max(0.01);
+                let fetch = if cached { 0 } else { 1 + (w.shape.image_gb / rate / 4.0) as u32 };
+                choices.push((gpu_waste, fetch, -(free.cpu as i64), idx, zone, n, m.session));
             }
             choices.sort_unstable();
             let mut zone_room = w.zone_room.clone();
             let mut wanted = w.count;
-            for (gpu_waste, uncached, neg_free, idx, zone, n, session) in choices {
+            for (gpu_waste, fetch, neg_free, idx, zone, n, session) in choices {
                 let Some(zr) = zone_room.get_mut(zone.0 as usize) else {
                     continue;
                 };
@@ -565,8 +568,8 @@
                     session,
                     zone: zone.0,
                     count,
-                    cached: !uncached,
-                    score: -neg_free - 1_000_000 * i64::from(gpu_waste),
+                    cached: fetch == 0,
+                    score: -neg_free - 10_000 * i64::from(fetch) - 1_000_000 * i64::from(gpu_waste),
                 });
                 if wanted == 0 {
                     break;
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -42,6 +42,8 @@
     pub zone_room: Vec<u32>,
     /// Nobody had room lately: stop less important tasks for it, if that helps.
     pub make_room: bool,
+    /// More than half of the time that its aim allows is over.
+    pub pressing: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -102,6 +104,7 @@
     pub count: u32,
     pub zone_room: Vec<u32>,
     pub waited_ms: u64,
+    pub pressing: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
