--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -440,7 +440,7 @@
                     .names
                     .type_idx(&m.type_name)
                     .map_or(1.0, |i| ctx.names.catalog[i.0 as usize].price);
-                let keep_ms = (60_000.0 * (2.0 / price.max(0.01)).clamp(0.3, 20.0)) as u64;
+                let keep_ms = (60_000.0 * (2.0 / price.max(0.01)).clamp(0.3, 0.7)) as u64;
                 if m.idle_ms.is_some_and(|i| i > keep_ms)
                     && !self.is_base(&m.machine)
                     && self.base.is_some()
