--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -358,7 +358,8 @@
             let whole = ctx.names.room_of_type(kind);
             let gpu_work = || {
                 let on = |t: &TaskOn| t.shape.as_ref().is_some_and(|s| s.need.gpu > 0);
-                m.tasks.values().any(|t| !t.over() && on(t))
+                // Services stay for long, and would keep it when that work is over.
+                w.shape.kind != Kind::Service && m.tasks.values().any(|t| !t.over() && on(t))
             };
             let own = || {
                 let name = ctx.names.machine_name(idx);
