--- /dev/null
+++ b/crates/wire/tests/formats.rs
@@ -0,0 +1,89 @@
+//! The odd names on the wire, as the protocol gives them.
+use leaddeal_wire::mesh::{NodeMsg, SeatMsg};
+use leaddeal_wire::user::{job_id, parse_job_id, Job, Kind, Priority};
+use leaddeal_wire::worker::{parse_task, Op, Order, Report, TaskState, Why};
+use leaddeal_wire::{cloud, settings::Settings, state};
+use serde_json::json;
+
+#[test]
+fn users_workers_cloud_and_state_speak_the_protocols_names() {
+    let j = Job::parse(
+        br#"{"id":"wk-000412","cargo":"train","crew":"vision","rig":"group","precedence":"high",
+        "hauls":16,"cores":8.0,"gpus":1.0,"memoryGb":64.0,"manifest":"img-07","imageGb":6.2,
+        "hulls":["g8"],"harbor":null,"together":true,"scatter":false,"charter":true,
+        "passageS":240.0,"fixS":30.0,"stowS":4.0,"tideS":900.0,"new":1}"#,
+    )
+    .expect("the protocol's example");
+    assert_eq!((j.kind, j.priority, j.tasks), (Kind::Gang, Priority::High, 16));
+    assert_eq!(j.deadline_s, Some(900.0));
+
+    let r: Report = serde_json::from_value(json!({"vessel":"n-000231",
+        "endpoint":"10.1.0.232:9000","hull":"g8","harbor":"a","charter":true,"watch":1,
+        "logline":88,"helm":41,"recallS":null,
+        "hauls":[{"haul":"wk-000412/3","sailing":2,"status":"running"},
+                 {"haul":"wk-000398/0","sailing":1,"status":"exited","cause":"new one"}]}))
+    .expect("a report");
+    assert_eq!((r.session, r.seq, r.token), (1, 88, 41));
+    assert_eq!(r.tasks[0].state, TaskState::Running);
+    assert_eq!(r.tasks[1].why, Some(Why::Other));
+    assert_eq!(parse_task(&r.tasks[0].task), Some((412, 3)));
+
+    let stop = Order { op: Op::Stop, task: "wk-000377/1".into(), attempt: 1, grace_s: Some(10.0) };
+    let start = Order { op: Op::Start, grace_s: None, ..stop.clone() };
+    assert_eq!(
+        json!([stop, start]),
+        json!([{"order":"stop","haul":"wk-000377/1","sailing":1,"mooringS":10.0},
+               {"order":"launch","haul":"wk-000377/1","sailing":1}])
+    );
+
+    let l: cloud::Listing = serde_json::from_value(json!({"fleet":[{"id":"n-000231",
+        "endpoint":"10.1.0.232:9000","hull":"g8","harbor":"a","charter":true,
+        "status":"starting","heldS":61.5}],"truncated":false}))
+    .expect("a list");
+    assert_eq!(l.machines[0].status, cloud::ListedStatus::Starting);
+
+    let t = state::Txn {
+        conds: vec![state::Cond { key: "a/b".into(), version: 0 }],
+        changes: vec![
+            state::Change::Put { key: "a/b".into(), value: json!({}), lease: Some(7) },
+            state::Change::Delete { key: "c/d".into() },
+        ],
+    };
+    assert_eq!(
+        json!(t),
+        json!({"when":[{"path":"a/b","entry":0}],
+               "then":[{"write":"a/b","value":{},"permit":7},{"delete":"c/d"}]})
+    );
+}
+
+#[test]
+fn job_names_and_numbers_match_one_to_one() {
+    for n in [0, 1, 999_999, 1_000_000, 123_456_789] {
+        assert_eq!(parse_job_id(&job_id(n)), Some(n));
+    }
+    for bad in ["", "wk-", "wk-1", "wk-0000001", "wk-00000x", "job-000001", "wk-+00001"] {
+        assert_eq!(parse_job_id(bad), None, "{bad}");
+    }
+}
+
+#[test]
+fn mesh_messages_are_what_they_were_after_cbor() {
+    let m = NodeMsg::Seat {
+        from: 1,
+        from_epoch: 7,
+        to: 2,
+        to_epoch: 9,
+        msg: SeatMsg::Close { negotiation: 1 << 40 },
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&m, &mut bytes).expect("written");
+    assert_eq!(ciborium::from_reader::<NodeMsg, _>(&bytes[..]).expect("read"), m);
+}
+
+#[test]
+fn settings_name_the_field_that_is_wrong() {
+    let e = Settings::parse("{}").expect_err("nothing is set").to_string();
+    assert!(e.contains("node_name"), "{e}");
+    let e = Settings::parse("not json").expect_err("not JSON").to_string();
+    assert!(e.contains("line 1"), "{e}");
+}
