--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -16,6 +16,8 @@
 /// Answers to a report name at most this many commands.
 const ORDERS: usize = 150;
 const SHUN_MS: u64 = 60_000;
+/// Tasks longer than this keep off ordinary GPU machines while there is GPU work.
+const LONG_S: f64 = 45.0;
 /// Losses from here on mean that nothing is stopped, and room becomes free by itself.
 const PATIENT: u64 = 1 << 50;
 
@@ -537,6 +539,10 @@
                 let gpu_waste = shape.need.gpu == 0 && whole.gpu > 0;
                 // Machines that GPU work of any kind may use are the last resort.
                 let gpu_waste = u8::from(gpu_waste) + u8::from(gpu_waste && !m.spot);
+                // Long work without GPUs would keep GPU work waiting where that has to run.
+                if gpu_waste == 2 && !self.gpu_work.is_empty() && w.shape.estimate_s > LONG_S {
+                    continue;
+                }
                 // Of machines without the image, those that have it sooner, in steps of 4 s.
                 let rate = ctx.names.catalog[kind.0 as usize].fetch_gb_per_s.max(0.01);
                 let fetch = if cached { 0 } else { 1 + (w.shape.image_gb / rate / 4.0) as u32 };
