--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -181,10 +181,10 @@
         (missed as u8, self.created + next.max(0.0) as u64)
     }
 
-    /// More than half of the time to its next aim is over.
+    /// More than a third of the time to its next aim is over.
     pub fn pressing(&self, aims: &Aims, now: Now) -> bool {
         let (_, due) = self.urgency(aims, now);
-        now.saturating_sub(self.created) > due.saturating_sub(self.created) / 2
+        now.saturating_sub(self.created) > due.saturating_sub(self.created) / 3
     }
 
     pub fn pending(&self) -> u32 {
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -9,7 +9,7 @@
 use leaddeal_wire::mesh::{
     AttemptRef, MachineInfo, Offer, Phase, Pick, SeatMsg, TaskEvent, Wanted,
 };
-use leaddeal_wire::user::Kind;
+use leaddeal_wire::user::{Kind, Priority};
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -58,7 +58,7 @@
     dirty: BTreeSet<MachineIdx>,
     next_batch: u64,
     /// GPU work asked for lately: room is kept for it on machines with GPUs.
-    gpu_work: HashMap<(u64, u64, u64), Now>,
+    gpu_work: HashMap<(u64, u64, u64), (Now, Priority)>,
 }
 
 impl Part {
@@ -517,13 +517,13 @@
         let now = ctx.now;
         let mut offers = Vec::new();
         let mut coming = Vec::new();
-        self.gpu_work.retain(|_, t| *t + 300_000 > now);
+        self.gpu_work.retain(|_, t| t.0 + 300_000 > now);
         self.claims.retain(|c| c.until > now);
         for (i, w) in items.iter().enumerate() {
             let shape = ctx.names.shape(&w.shape);
             if shape.need.gpu > 0 {
                 let n = shape.need;
-                self.gpu_work.insert((n.cpu, n.gpu, n.mem), now);
+                self.gpu_work.insert((n.cpu, n.gpu, n.mem), (now, w.shape.priority));
             }
             let mut choices = Vec::new();
             for (&idx, m) in &self.machines {
@@ -539,8 +539,9 @@
                 let gpu_waste = shape.need.gpu == 0 && whole.gpu > 0;
                 // Machines that GPU work of any kind may use are the last resort.
                 let gpu_waste = u8::from(gpu_waste) + u8::from(gpu_waste && !m.spot);
-                // Long work without GPUs would keep GPU work waiting where that has to run.
-                if gpu_waste == 2 && !self.gpu_work.is_empty() && w.shape.estimate_s > LONG_S {
+                // Long work without GPUs would keep GPU work waiting that may not stop it.
+                let lasting = self.gpu_work.values().any(|g| g.1 <= w.shape.priority);
+                if gpu_waste == 2 && lasting && w.shape.estimate_s > LONG_S {
                     continue;
                 }
                 // Of machines without the image, those that have it sooner, in steps of 4 s.
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -42,7 +42,7 @@
     pub zone_room: Vec<u32>,
     /// Nobody had room lately: stop less important tasks for it, if that helps.
     pub make_room: bool,
-    /// More than half of the time that its aim allows is over.
+    /// More than a third of the time that its aim allows is over.
     pub pressing: bool,
 }
 
