--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -158,7 +158,8 @@
             Priority::Low if !pressing => 1.5,
             Priority::Low => 3.5,
             Priority::Normal | Priority::High => 4.5,
-            Priority::Production => 5.0,
+            Priority::Production if !pressing => 5.0,
+            Priority::Production => 8.0,
         };
         place(t, spot).is_some_and(|p| p <= fair * patience)
     }
