--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -42,6 +42,8 @@
     listed: BTreeMap<String, Listed>,
     page: BTreeMap<String, Listed>,
     list_in_flight: bool,
+    /// No call to the cloud before this time: its limit is kept to.
+    next_call: Now,
     list_at: Now,
     /// Last complete list, and when the call for it was sent.
     list_known: bool,
@@ -77,6 +79,7 @@
             listed: BTreeMap::new(),
             page: BTreeMap::new(),
             list_in_flight: false,
+            next_call: now,
             list_at: now,
             list_known: false,
             plan_at: now,
@@ -286,7 +289,8 @@
         if !ctx.valid {
             return;
         }
-        if !self.list_in_flight && now >= self.list_at {
+        if !self.list_in_flight && now >= self.list_at && now >= self.next_call {
+            self.next_call = now + ctx.cfg.cloud_gap_ms;
             self.list_in_flight = true;
             self.list_at = now + LIST_MS;
             ctx.cloud(OpKind::Buyer(self.epoch, BuyerOp::List), CloudCall::List { after: None });
@@ -296,13 +300,16 @@
             ctx.cloud(OpKind::Catalog, CloudCall::Catalog);
         }
         if let Some(a) = &mut self.asked {
-            if !a.in_flight && now >= a.retry_at {
+            if !a.in_flight && now >= a.retry_at && now >= self.next_call {
+                self.next_call = now + ctx.cfg.cloud_gap_ms;
                 a.in_flight = true;
                 let rent = a.rent.clone();
                 ctx.cloud(OpKind::Buyer(self.epoch, BuyerOp::Rent), CloudCall::Rent(rent));
             }
         }
-        if self.releasing.is_empty() && !self.to_release.is_empty() && now >= self.release_retry {
+        let may = now >= self.release_retry && now >= self.next_call;
+        if self.releasing.is_empty() && !self.to_release.is_empty() && may {
+            self.next_call = now + ctx.cfg.cloud_gap_ms;
             let names: Vec<String> = self.to_release.iter().take(100).cloned().collect();
             for n in &names {
                 self.to_release.remove(n);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -36,6 +36,8 @@
     pub max_picks: usize,
     pub txn_ops: usize,
     pub list_lag_ms: u64,
+    /// Between calls to the cloud, so that all together stay below its limit.
+    pub cloud_gap_ms: u64,
     pub teams: Vec<leaddeal_wire::settings::Team>,
     pub aims: Aims,
 }
@@ -309,6 +311,7 @@
                 quiet_ms: (p.workers.report_s * 2500.0) as u64 + 500,
                 max_picks: ((p.state.value_kb * 1024.0 - 200.0) / 64.0).clamp(1.0, 150.0) as usize,
                 txn_ops: p.state.txn_ops,
+                cloud_gap_ms: (1100.0 / p.cloud.rps) as u64,
                 list_lag_ms: (p.cloud.list_lag_s * 1000.0) as u64,
                 teams: p.teams.clone(),
                 aims: Aims::new(&p.objectives),
