--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -1259,10 +1259,6 @@
             }
         }
     }
-
-    pub fn running_on(&self, p: &Placement) -> bool {
-        matches!(p.phase, Phase::On(TaskState::Running))
-    }
 }
 
 pub fn known(state: JobState, created: bool) -> UserReply {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -465,7 +465,6 @@
                     o.part.base = Some(newest);
                 }
             }
-            SeatMsg::Undrain { machine } => o.part.undrain(&mut c, &machine),
             SeatMsg::Released { machine } => {
                 if from == BUYER_SEAT {
                     o.part.released(&mut c, &machine);
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -719,13 +719,6 @@
         true
     }
 
-    pub fn undrain(&mut self, ctx: &mut Ctx, machine: &str) {
-        let idx = ctx.names.machine(machine);
-        if let Some(m) = self.machines.get_mut(&idx) {
-            m.draining = false;
-        }
-    }
-
     pub fn released(&mut self, ctx: &mut Ctx, machine: &str) {
         let idx = ctx.names.machine(machine);
         let m = self.machine(idx);
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -199,9 +199,6 @@
     Drained {
         machine: String,
     },
-    Undrain {
-        machine: String,
-    },
     Released {
         machine: String,
     },
