One place each for a shape's room, a machine's price and its fetch time

The buyer repeated the spot premium of Names::price, four places built a Room from a shape, and two computed an image's fetch time. No behaviour changes.

--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -356,7 +356,7 @@
             .sort_by_key(|l| (std::cmp::Reverse(l.shape.priority), std::cmp::Reverse(l.waited_ms)));
         for l in lacks {
             let mut left = u64::from(l.count);
-            let need = Room { cpu: l.shape.cpu, gpu: l.shape.gpu, mem: l.shape.mem };
+            let need = Room::of(&l.shape);
             for (room, b) in &mut coming {
                 let Some(t) = ctx.names.type_idx(&b.type_name) else {
                     continue;
@@ -400,8 +400,8 @@
                     {
                         continue;
                     }
-                    let price = if spot { t.spot_price * 1.15 } else { t.price };
-                    if !ctx.names.affordable(&l.shape, need, idx, spot, l.pressing) {
+                    let price = ctx.names.price(idx, spot);
+                    if !ctx.names.affordable(&l.shape, idx, spot, l.pressing) {
                         continue;
                     }
                     let used = fits.min(room);
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -42,6 +42,11 @@
 }
 
 impl Room {
+    /// What a task of this shape takes.
+    pub fn of(s: &mesh::Shape) -> Room {
+        Room { cpu: s.cpu, gpu: s.gpu, mem: s.mem }
+    }
+
     pub fn add(&mut self, o: Room, n: u64) {
         self.cpu += o.cpu * n;
         self.gpu += o.gpu * n;
@@ -121,12 +126,17 @@
 
     pub fn shape(&mut self, wire: &Arc<mesh::Shape>) -> Shape {
         Shape {
-            need: Room { cpu: wire.cpu, gpu: wire.gpu, mem: wire.mem },
+            need: Room::of(wire),
             image: ImageIdx(self.images.intern(&wire.image)),
             wire: wire.clone(),
         }
     }
 
+    /// How long such a machine fetches an image of that size, in seconds.
+    pub fn fetch_s(&self, t: TypeIdx, gb: f64) -> f64 {
+        gb / self.catalog[t.0 as usize].fetch_gb_per_s.max(0.01)
+    }
+
     /// Price of a machine per hour, as a spot one or an ordinary one.
     pub fn price(&self, t: TypeIdx, spot: bool) -> f64 {
         let t = &self.catalog[t.0 as usize];
@@ -140,14 +150,8 @@
 
     /// Whether a task's place on such a machine costs no more than it is worth: a multiple of
     /// the cheapest place there is, whether that can be had now or not.
-    pub fn affordable(
-        &self,
-        shape: &mesh::Shape,
-        need: Room,
-        t: TypeIdx,
-        spot: bool,
-        pressing: bool,
-    ) -> bool {
+    pub fn affordable(&self, shape: &mesh::Shape, t: TypeIdx, spot: bool, pressing: bool) -> bool {
+        let need = Room::of(shape);
         let place = |t: TypeIdx, spot| {
             let fits = self.room_of_type(t).fits(need);
             (fits > 0 && self.allows(shape, t, spot)).then(|| self.price(t, spot) / fits as f64)
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -536,7 +536,7 @@
             return false;
         };
         let shape = wire_shape(j);
-        let need = Room { cpu: shape.cpu, gpu: shape.gpu, mem: shape.mem };
+        let need = Room::of(&shape);
         let fits = self.names.catalog.iter().enumerate().any(|(i, t)| {
             let idx = crate::ids::TypeIdx(i as u8);
             self.names.allows(&shape, idx, false)
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -356,7 +356,7 @@
         let (kind, zone) = (m.kind?, m.zone?);
         // Cheap work does not keep a machine that is dear for it, unless that is paid anyway:
         // for the GPU work on it, or because it is never returned.
-        let dear = |need: Room| {
+        let dear = || {
             let whole = ctx.names.room_of_type(kind);
             let gpu_work = || {
                 let on = |t: &TaskOn| t.shape.as_ref().is_some_and(|s| s.need.gpu > 0);
@@ -367,14 +367,13 @@
                 let name = ctx.names.machine_name(idx);
                 self.base.as_ref().is_some_and(|b| older(name, b))
             };
-            need.gpu == 0
+            w.shape.gpu == 0
                 && whole.gpu > 0
-                && !ctx.names.affordable(&w.shape, need, kind, m.spot, w.pressing)
+                && !ctx.names.affordable(&w.shape, kind, m.spot, w.pressing)
                 && !gpu_work()
                 && !own()
         };
-        let need = Room { cpu: w.shape.cpu, gpu: w.shape.gpu, mem: w.shape.mem };
-        let usable = usable && !dear(need);
+        let usable = usable && !dear();
         (usable && ctx.names.allows(&w.shape, kind, m.spot)).then_some((kind, zone))
     }
 
@@ -486,8 +485,7 @@
                 };
                 let far = !m.has_image(shape.image);
                 // Waiting for the image, too, is lost time.
-                let rate = ctx.names.catalog[kind.0 as usize].fetch_gb_per_s.max(0.01);
-                let fetch_s = if far { w.shape.image_gb / rate } else { 0.0 };
+                let fetch_s = if far { ctx.names.fetch_s(kind, w.shape.image_gb) } else { 0.0 };
                 let loss = loss + (fetch_s * 3.0) as u64 * shape.need.cpu;
                 if best.as_ref().is_none_or(|b| (loss, far) < (b.0, b.1)) {
                     best = Some((loss, far, idx, keys));
@@ -545,8 +543,8 @@
                     continue;
                 }
                 // Of machines without the image, those that have it sooner, in steps of 4 s.
-                let rate = ctx.names.catalog[kind.0 as usize].fetch_gb_per_s.max(0.01);
-                let fetch = if cached { 0 } else { 1 + (w.shape.image_gb / rate / 4.0) as u32 };
+                let fetch_s = ctx.names.fetch_s(kind, w.shape.image_gb);
+                let fetch = if cached { 0 } else { 1 + (fetch_s / 4.0) as u32 };
                 choices.push((gpu_waste, fetch, -(free.cpu as i64), idx, zone, n, m.session));
             }
             choices.sort_unstable();
