Links to siblings are made anew when the other end shows no sign of reading

Excluded: epochs and views (both right), proofs of gone (no task called gone was seen again). Now the reading end writes a byte back, and a sender that sees none for 4 s reconnects.

--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -78,7 +78,9 @@
         links: s
             .peers
             .iter()
-            .map(|p| (p.node.clone(), link::dial(s.node.clone(), p.addr.clone(), boot)))
+            .map(|p| {
+                (p.node.clone(), link::dial(s.node.clone(), p.addr.clone(), boot, link::PATIENCE))
+            })
             .collect(),
         replies: HashMap::new(),
     };
--- a/crates/leaddeal/src/link.rs
+++ b/crates/leaddeal/src/link.rs
@@ -3,10 +3,10 @@
 use crate::driver::Event;
 use leaddeal_core::Input;
 use leaddeal_wire::mesh::{Hello, NodeMsg, MAX_FRAME};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -16,6 +16,10 @@
 const QUEUE: usize = 2000;
 const WRITE_LIMIT: Duration = Duration::from_secs(3);
 const SILENCE: Duration = Duration::from_secs(20);
+/// The reading end writes a byte back this often, if there was anything to read.
+const SIGN_EVERY: Duration = Duration::from_millis(500);
+/// For a sender without such a sign.
+pub const PATIENCE: Duration = Duration::from_secs(4);
 
 fn frame<T: serde::Serialize>(m: &T, into: &mut Vec<u8>) {
     let at = into.len();
@@ -40,14 +44,15 @@
     Some(())
 }
 
-/// Sends to one sibling, reconnecting as needed.
-pub fn dial(node: String, addr: String, boot: u64) -> mpsc::Sender<NodeMsg> {
+/// Sends to one sibling, reconnecting as needed: also when the other end has not shown for
+/// `patience` that it reads. Siblings send each other something every second.
+pub fn dial(node: String, addr: String, boot: u64, patience: Duration) -> mpsc::Sender<NodeMsg> {
     let (tx, mut rx) = mpsc::channel::<NodeMsg>(QUEUE);
     tokio::task::spawn_local(async move {
         let mut generation = 0;
         loop {
             let conn = timeout(Duration::from_millis(1000), TcpStream::connect(&addr)).await;
-            let Ok(Ok(mut s)) = conn else {
+            let Ok(Ok(s)) = conn else {
                 // What waited is stale by now: senders repeat what matters.
                 while rx.try_recv().is_ok() {}
                 sleep(Duration::from_millis(300)).await;
@@ -55,11 +60,24 @@
             };
             let _ = s.set_nodelay(true);
             generation += 1;
+            let (mut back, mut s) = s.into_split();
+            // A connection whose other end is gone may swallow everything without an error: a
+            // crash behind a cut leaves nobody to reset it. (Found on a hunt: a sibling that came
+            // back heard nothing for the rest of the day, so that cancelled tasks ran on.)
+            let read_at = Rc::new(Cell::new(Instant::now()));
+            let seen = read_at.clone();
+            let watch = tokio::task::spawn_local(async move {
+                let mut sign = [0; 64];
+                while matches!(back.read(&mut sign).await, Ok(n) if n > 0) {
+                    seen.set(Instant::now());
+                }
+            });
             let mut buf = Vec::new();
             frame(&Hello { node: node.clone(), boot, generation }, &mut buf);
             loop {
                 let wrote = timeout(WRITE_LIMIT, s.write_all(&buf)).await;
-                if !matches!(wrote, Ok(Ok(()))) {
+                if !matches!(wrote, Ok(Ok(()))) || read_at.get().elapsed() > patience {
+                    tracing::info!(event = "link_broken", "{addr}");
                     break;
                 }
                 buf.clear();
@@ -72,6 +90,7 @@
                     }
                 }
             }
+            watch.abort();
         }
     });
     tx
@@ -119,7 +138,14 @@
         }
         *e = me;
     }
+    let mut signed = Instant::now();
     while read_frame(&mut s, &mut buf).await.is_some() {
+        if signed.elapsed() >= SIGN_EVERY {
+            signed = Instant::now();
+            if !matches!(timeout(WRITE_LIMIT, s.write_all(&[1])).await, Ok(Ok(()))) {
+                return;
+            }
+        }
         // Held-back data of an older connection must not come after that of a newer one.
         if newest.borrow().get(&hello.node) != Some(&me) {
             return;
@@ -133,3 +159,41 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A listener that swallows everything stands for a sibling that is gone unnoticed.
+    #[tokio::test]
+    async fn a_connection_without_signs_of_reading_is_made_anew() {
+        let l = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = l.local_addr().expect("its address").to_string();
+        let work = async {
+            let tx = dial("n-0".into(), addr, 1, Duration::from_millis(20));
+            let feed = tokio::task::spawn_local(async move {
+                while tx.send(NodeMsg::Beat { owned: Vec::new() }).await.is_ok() {
+                    tokio::task::yield_now().await;
+                }
+            });
+            let mut hellos = Vec::new();
+            let mut kept = Vec::new();
+            for _ in 0..2 {
+                let (mut s, _) = l.accept().await.expect("a connection");
+                let mut buf = Vec::new();
+                read_frame(&mut s, &mut buf).await.expect("a frame");
+                hellos.push(ciborium::from_reader::<Hello, _>(&buf[..]).expect("a hello"));
+                kept.push(tokio::task::spawn_local(async move {
+                    while read_frame(&mut s, &mut buf).await.is_some() {}
+                }));
+            }
+            feed.abort();
+            kept.iter().for_each(tokio::task::JoinHandle::abort);
+            hellos
+        };
+        let local = tokio::task::LocalSet::new();
+        let hellos = timeout(Duration::from_secs(20), local.run_until(work)).await;
+        let hellos = hellos.expect("a second connection");
+        assert!(hellos[1].generation > hellos[0].generation, "the newer one is listened to");
+    }
+}
