Gangs wait in line, services leave GPU room or move later, jobs keep their age

Now gangs of several tasks are served in order, each waiting for one zone; services are measured by a machine's lasting room and moved off machines that gangs wait for; the clock starts later.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -19,7 +19,9 @@
 
 /// Answers to a request for offers are waited for no longer than this.
 pub const OFFERS_MS: u64 = 2000;
-const ITEMS: usize = 10;
+const ITEMS: usize = 14;
+/// A request names at most this many kinds of GPU work.
+const GPU_KINDS: usize = 16;
 const RESEND_MS: u64 = 2000;
 const FOLD_MS: u64 = 300;
 
@@ -408,6 +410,8 @@
                 zone_room,
                 make_room: false,
                 pressing: j.pressing(&ctx.cfg.aims, ctx.now),
+                anywhere: j.anywhere(&ctx.cfg.aims, ctx.now),
+                line: j.line(&ctx.cfg.aims, ctx.now),
             });
         }
         if items.is_empty() {
@@ -415,6 +419,7 @@
         }
         self.next_talk += 1;
         let id = Negotiation((self.epoch.0 << 24) | self.next_talk);
+        let gpu_work = self.gpu_work();
         // A seat known to be vacant is not waited for.
         let asked: Vec<Seat> = ctx.seats().filter(|s| ctx.reachable(*s)).collect();
         for &s in &asked {
@@ -424,7 +429,8 @@
                 w.make_room =
                     turn.is_some_and(|t| t as usize % ctx.seats().count() == s.0 as usize);
             }
-            let msg = SeatMsg::Request { negotiation: id.0, items };
+            let gpu_work = gpu_work.clone();
+            let msg = SeatMsg::Request { negotiation: id.0, items, gpu_work };
             ctx.send(self.seat, s, msg);
         }
         self.talk = Some(Talk {
@@ -439,6 +445,17 @@
         self.check_talk(ctx);
     }
 
+    /// The kinds of GPU work there are, so that parts keep services from spoiling its machines
+    /// before it gets its turn to be asked for.
+    fn gpu_work(&self) -> Vec<(u64, u64, u64, user::Priority)> {
+        let live = self.jobs.values().filter(|j| !j.cancelled && j.shape.need.gpu > 0);
+        let kinds = live.map(|j| {
+            let n = j.shape.need;
+            (n.cpu, n.gpu, n.mem, j.wire.priority)
+        });
+        kinds.collect::<BTreeSet<_>>().into_iter().take(GPU_KINDS).collect()
+    }
+
     fn check_talk(&mut self, ctx: &mut Ctx) {
         let Some(t) = &mut self.talk else { return };
         t.waiting.retain(|s| ctx.reachable(*s));
@@ -478,14 +495,15 @@
                 let n = Room { cpu: left.0, gpu: left.1, mem: 0 }.fits(Room { cpu, gpu, mem: 0 });
                 want = want.min(n.min(u64::from(u32::MAX)) as u32);
             }
+            let mut per = vec![0u32; room.len()];
+            for o in &mine {
+                if let Some(p) = per.get_mut(o.1.zone as usize) {
+                    *p = p.saturating_add(o.1.count);
+                }
+            }
+            let open = room.clone();
             if j.wire.one_zone {
                 // All in one zone: the one that holds the most of it, if no task is in one yet.
-                let mut per = vec![0u32; room.len()];
-                for o in &mine {
-                    if let Some(p) = per.get_mut(o.1.zone as usize) {
-                        *p = p.saturating_add(o.1.count);
-                    }
-                }
                 let best = (0..per.len()).max_by_key(|&z| per[z].min(room[z]));
                 for (z, r) in room.iter_mut().enumerate() {
                     if Some(z) != best {
@@ -515,6 +533,7 @@
             let whole = j.wire.kind != Kind::Gang || picks.len() as u32 == j.pending();
             if picks.is_empty() || !whole {
                 j.refusals += 1;
+                j.aim_at(&per, &open);
                 let urgent = j.wire.priority > user::Priority::Low && j.refusals < 12;
                 // Whoever is making room is asked on; else it is the next one's turn.
                 let step = u32::from(!talk.coming.contains(&(i as u16)));
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -28,6 +28,9 @@
     pub team: Option<(u8, u64, u64)>,
 }
 
+/// A service asked for in vain this often in a row, which takes about 9 s, may stand in the way of GPU work.
+const LONG_REFUSED: u32 = 20;
+
 /// A task's completion: task, attempt, machine, round.
 pub type DoneOn = (u32, Attempt, MachineIdx, u64);
 
@@ -46,6 +49,8 @@
     pub refusals: u32,
     /// Whose turn it is to make room by preemption; none: nobody was short of it.
     pub make_room: Option<u32>,
+    /// A gang that waits does so for this zone.
+    pub target: Option<ZoneIdx>,
     /// Failures in a row without a completion in between.
     pub errors: u32,
     /// Durable and told: no task of it may start any more.
@@ -120,6 +125,7 @@
             not_before: 0,
             refusals: 0,
             make_room: None,
+            target: None,
             errors: 0,
             cancelled: false,
             dirty: BTreeSet::new(),
@@ -187,6 +193,53 @@
         now.saturating_sub(self.created) > due.saturating_sub(self.created) / 3
     }
 
+    /// Several tasks of it need room in the same zone.
+    fn one_place(&self) -> bool {
+        self.wire.one_zone && self.pending() > 1
+    }
+
+    /// A service that is late and finds no place may use any: people notice it sooner than GPU
+    /// work that waits, and it is moved out of the way later.
+    pub fn anywhere(&self, aims: &Aims, now: Now) -> bool {
+        let late = self.urgency(aims, now).0 > 0;
+        self.wire.kind == Kind::Service && late && self.refusals >= LONG_REFUSED
+    }
+
+    /// A gang's place among those that wait.
+    pub fn line(&self, aims: &Aims, now: Now) -> Option<mesh::Line> {
+        let (late, due) = self.urgency(aims, now);
+        (self.wire.kind == Kind::Gang).then(|| mesh::Line {
+            late,
+            due_ms: due.saturating_sub(now),
+            stands: self.refusals > 0 && self.target.is_some(),
+            zone: self.target.map(|z| z.0),
+        })
+    }
+
+    /// Chooses the zone that a gang waits for, from how much each had for it. It stays where it
+    /// has got something, so that what is kept for it there is not kept in vain.
+    pub fn aim_at(&mut self, had: &[u32], room: &[u32]) {
+        if !self.one_place() {
+            self.target = None;
+            return;
+        }
+        let at = |z: usize| had[z].min(room[z]);
+        let here = self.target.map(|z| z.0 as usize).filter(|&z| z < had.len() && room[z] > 0);
+        if here.is_some_and(|z| at(z) > 0) {
+            return;
+        }
+        let best = (0..had.len()).max_by_key(|&z| at(z)).filter(|&z| at(z) > 0);
+        let open: Vec<usize> = (0..room.len()).filter(|&z| room[z] > 0).collect();
+        let next = match (best, here) {
+            (Some(z), _) => Some(z),
+            // Nothing anywhere: in turn, but not at every refusal.
+            (None, Some(z)) if !self.refusals.is_multiple_of(16) => Some(z),
+            _ if open.is_empty() => None,
+            _ => Some(open[(self.id.0 as usize + self.refusals as usize / 16) % open.len()]),
+        };
+        self.target = next.map(|z| ZoneIdx(z as u8));
+    }
+
     pub fn pending(&self) -> u32 {
         self.wire.tasks - self.done.len() - self.placed.len() as u32
     }
@@ -269,3 +322,58 @@
             .collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::names::Names;
+    use user::Priority;
+
+    #[test]
+    fn a_gang_waits_for_one_zone_until_that_has_nothing() {
+        let mut names = Names::default();
+        let mut j = Job::leftover(JobId(7), &mut names);
+        j.wire = user::Job {
+            class: "c".into(),
+            kind: Kind::Gang,
+            priority: Priority::Normal,
+            tasks: 4,
+            one_zone: true,
+            ..j.wire
+        };
+        let none = Aims::default();
+        assert!(!j.line(&none, 0).expect("a gang's").stands, "asks for the first time");
+        let room = [4, 4, 4];
+        j.refusals = 1;
+        j.aim_at(&[0, 2, 1], &room);
+        assert_eq!(j.target, Some(ZoneIdx(1)));
+        j.aim_at(&[3, 1, 0], &room);
+        assert_eq!(j.target, Some(ZoneIdx(1)), "what is kept for it there is not kept in vain");
+        assert!(j.line(&none, 0).expect("a gang's").stands);
+        j.aim_at(&[3, 0, 0], &room);
+        assert_eq!(j.target, Some(ZoneIdx(0)));
+        j.wire.tasks = 1;
+        j.aim_at(&[0, 0, 0], &room);
+        assert_eq!(j.target, None, "a lone task needs no zone to itself");
+        assert!(!j.line(&none, 0).expect("a gang's").stands);
+    }
+
+    /// A job older than the process must keep its age, or its order and urgency are lost.
+    #[test]
+    fn urgency_counts_from_the_submission() {
+        let mut names = Names::default();
+        let mut j = Job::leftover(JobId(7), &mut names);
+        let objective = |within_s| Objective {
+            kind: "wait".into(),
+            class: "c".into(),
+            within_s: Some(within_s),
+            share: Some(0.9),
+            times: None,
+        };
+        j.wire.class = "c".into();
+        let aims = Aims::new(&[objective(80.0), objective(350.0)]);
+        j.created = 1_000_000;
+        assert_eq!(j.urgency(&aims, 1_050_000), (0, 1_080_000));
+        assert_eq!(j.urgency(&aims, 1_100_000), (1, 1_350_000));
+    }
+}
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -7,15 +7,23 @@
 use crate::preemption::{victims, Candidate};
 use crate::seat::at_least;
 use leaddeal_wire::mesh::{
-    AttemptRef, MachineInfo, Offer, Phase, Pick, SeatMsg, TaskEvent, Wanted,
+    AttemptRef, Line, MachineInfo, Offer, Phase, Pick, SeatMsg, Shape as WireShape, TaskEvent,
+    Wanted,
 };
 use leaddeal_wire::user::{Kind, Priority};
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
 
 /// Answers to a report name at most this many commands.
 const ORDERS: usize = 150;
 const SHUN_MS: u64 = 60_000;
+/// A waiting gang that has not asked again for this long has no place in the line any more.
+const STANDS_MS: u64 = 5000;
+/// Between two replicas moved out of the way of GPU work.
+const MOVE_MS: u64 = 1500;
+/// A replica that has run for less is not moved.
+const SETTLED_MS: u64 = 40_000;
 /// Tasks longer than this keep off ordinary GPU machines while there is GPU work.
 const LONG_S: f64 = 45.0;
 /// Losses from here on mean that nothing is stopped, and room becomes free by itself.
@@ -29,6 +37,8 @@
     machine: MachineIdx,
     need: Room,
     count: u64,
+    /// For a service or GPU work, which stays for long.
+    lasting: bool,
 }
 
 /// Room made for a job by stopping others: nobody else gets it for a while.
@@ -40,8 +50,31 @@
     until: Now,
     /// Waits for tasks to end by themselves.
     patient: bool,
+    /// Of a gang: whoever is to be served before it may use the room.
+    rank: Option<Rank>,
 }
 
+impl Claim {
+    /// Whether the room is not for a job of this rank.
+    fn bars(&self, job: JobId, rank: Option<Rank>) -> bool {
+        let yields = matches!((self.rank, rank), (Some(c), Some(r)) if self.patient && r < c);
+        self.job != job && !yields
+    }
+}
+
+/// A gang that waits for room, and for which zone (none: for any).
+#[derive(Clone, Debug)]
+struct Waiting {
+    rank: Rank,
+    zone: Option<ZoneIdx>,
+    count: u32,
+    shape: Arc<WireShape>,
+    until: Now,
+}
+
+/// Priority, aims missed, when the next is due, and the job: the lesser is served first.
+type Rank = (std::cmp::Reverse<Priority>, u8, Now, JobId);
+
 #[derive(Debug)]
 pub struct Part {
     pub seat: Seat,
@@ -59,6 +92,8 @@
     next_batch: u64,
     /// GPU work asked for lately: room is kept for it on machines with GPUs.
     gpu_work: HashMap<(u64, u64, u64), (Now, Priority)>,
+    waiting: BTreeMap<JobId, Waiting>,
+    move_at: Now,
 }
 
 impl Part {
@@ -76,6 +111,8 @@
             dirty: BTreeSet::new(),
             next_batch: epoch.0 << 20,
             gpu_work: HashMap::new(),
+            waiting: BTreeMap::new(),
+            move_at: now,
         }
     }
 
@@ -211,13 +248,17 @@
             return;
         }
         match msg {
-            SeatMsg::Request { negotiation, items } => {
+            SeatMsg::Request { negotiation, items, gpu_work } => {
+                for (cpu, gpu, mem, priority) in gpu_work {
+                    self.gpu_work.insert((cpu, gpu, mem), (ctx.now, priority));
+                }
                 self.offer(ctx, from, Negotiation(negotiation), &items);
             }
             SeatMsg::Close { negotiation } => {
                 self.holds.retain(|h| h.seat != from || h.negotiation.0 != negotiation);
             }
             SeatMsg::Place { job, shape, picks, adopt } => {
+                self.waiting.remove(&JobId(job));
                 let shape = ctx.names.shape(&shape);
                 for p in picks {
                     self.place(ctx, from, JobId(job), &shape, &p, adopt);
@@ -324,13 +365,20 @@
         self.dirty.insert(idx);
     }
 
-    fn free(&self, idx: MachineIdx, m: &Machine, names: &Names, job: JobId) -> Option<Room> {
+    fn free(
+        &self,
+        idx: MachineIdx,
+        m: &Machine,
+        names: &Names,
+        job: JobId,
+        rank: Option<Rank>,
+    ) -> Option<Room> {
         let mut free = names.room_of_type(m.kind?);
         free.sub(m.used()?, 1);
         for h in self.holds.iter().filter(|h| h.machine == idx) {
             free.sub(h.need, h.count);
         }
-        for c in self.claims.iter().filter(|c| c.machine == idx && c.job != job) {
+        for c in self.claims.iter().filter(|c| c.machine == idx && c.bars(job, rank)) {
             free.sub(c.need, 1);
         }
         Some(free)
@@ -377,33 +425,71 @@
         (usable && ctx.names.allows(&w.shape, kind, m.spot)).then_some((kind, zone))
     }
 
-    /// What work may use of a machine's free room: services, which stay, leave enough for the
-    /// GPU work that is known. Tasks that end make way in time (see `make_room`).
-    fn spare(&self, free: Room, whole: Room, shape: &Shape) -> Room {
-        let mut left = free;
-        if shape.need.gpu == 0 && whole.gpu > 0 && shape.wire.kind == Kind::Service {
-            for &(cpu, gpu, mem) in self.gpu_work.keys() {
-                let n = Room { cpu, gpu, mem };
-                let mut f = free;
-                f.sub(n, free.fits(n));
-                left.cpu = left.cpu.min(f.cpu);
-                left.mem = left.mem.min(f.mem);
+    /// A machine's room less what stays there for long: services, and GPU work.
+    fn lasting_room(&self, idx: MachineIdx, m: &Machine, whole: Room) -> Room {
+        let mut later = whole;
+        let stay = |s: &Shape| s.wire.kind == Kind::Service || s.need.gpu > 0;
+        for s in m.tasks.values().filter(|t| !t.over()).filter_map(|t| t.shape.as_ref()) {
+            if stay(s) {
+                later.sub(s.need, 1);
             }
         }
+        for h in self.holds.iter().filter(|h| h.machine == idx && h.lasting) {
+            later.sub(h.need, h.count);
+        }
+        later
+    }
+
+    /// What a service may use of a GPU machine whose lasting room this is: it stays, and leaves
+    /// enough for the GPU work that is known. Seen from the room that is free just now, a machine
+    /// full of short tasks looked lost to GPU work anyway, and services filled it for good.
+    fn spare(&self, later: Room, pressing: bool, anywhere: bool) -> Room {
+        if anywhere {
+            return later;
+        }
+        // Which GPU work there will be may not be known yet.
+        if self.gpu_work.is_empty() && !pressing {
+            return Room::default();
+        }
+        let mut left = later;
+        for &(cpu, gpu, mem) in self.gpu_work.keys() {
+            let n = Room { cpu, gpu, mem };
+            let mut l = later;
+            l.sub(n, later.fits(n));
+            left.cpu = left.cpu.min(l.cpu);
+            left.mem = left.mem.min(l.mem);
+        }
         left
     }
 
     /// Stops less important tasks so that up to `count` tasks of the job find room soon.
     fn make_room(&mut self, ctx: &mut Ctx, w: &Wanted, shape: &Shape, count: u32, zones: &[u32]) {
+        self.make_room_on(ctx, w, shape, count, zones, true);
+    }
+
+    /// The same, on machines with GPUs too or not.
+    fn make_room_on(
+        &mut self,
+        ctx: &mut Ctx,
+        w: &Wanted,
+        shape: &Shape,
+        count: u32,
+        zones: &[u32],
+        gpus: bool,
+    ) {
         let now = ctx.now;
         let job = JobId(w.job);
+        let rank = self.waiting.get(&job).map(|w| w.rank);
         let have = self.claims.iter().filter(|c| c.job == job).count() as u32;
-        let machines = &self.machines;
+        let lasts = |c: &Claim| {
+            let m = self.machines.get(&c.machine).filter(|m| !m.lapsed && m.notice.is_none())?;
+            let room = m.zone.and_then(|z| zones.get(z.0 as usize)).copied().unwrap_or(0);
+            (room > 0).then_some(c.machine)
+        };
+        let mine = self.claims.iter().filter(|c| c.job == job && c.patient);
+        let kept: BTreeSet<MachineIdx> = mine.filter_map(lasts).collect();
         for c in self.claims.iter_mut().filter(|c| c.job == job && c.patient) {
-            let m = machines.get(&c.machine);
-            let zone = m.and_then(|m| m.zone);
-            let room = zone.and_then(|z| zones.get(z.0 as usize)).copied().unwrap_or(0);
-            if room > 0 && m.is_some_and(|m| !m.lapsed && m.notice.is_none()) {
+            if kept.contains(&c.machine) {
                 c.until = now + 3000;
             }
         }
@@ -411,14 +497,23 @@
             let mut best: Option<(u64, bool, MachineIdx, Vec<Key>)> = None;
             for (&idx, m) in &self.machines {
                 // Set aside for work that waits for it: not taken from under it.
-                if self.claims.iter().any(|c| c.machine == idx && c.patient && c.job != job) {
+                if self.claims.iter().any(|c| c.machine == idx && c.patient && c.bars(job, rank)) {
                     continue;
                 }
                 let Some((kind, zone)) = self.usable(ctx, idx, m, w) else { continue };
+                // Of gangs of several tasks only the first in line has machines set aside: when each
+                // held some, all stood still.
+                let several = w.line.is_some_and(|l| l.zone.is_some());
+                if several && rank.is_some_and(|r| self.behind(ctx.names, r, kind, zone, m.spot)) {
+                    continue;
+                }
+                if !gpus && ctx.names.room_of_type(kind).gpu > 0 {
+                    continue;
+                }
                 if zones.get(zone.0 as usize).is_none_or(|&r| r == 0) {
                     continue;
                 }
-                let Some(mut soon) = self.free(idx, m, ctx.names, JobId(u64::MAX)) else {
+                let Some(mut soon) = self.free(idx, m, ctx.names, JobId(u64::MAX), rank) else {
                     continue;
                 };
                 // Nothing is idle here by the usual count, or it would have been offered; what
@@ -446,13 +541,13 @@
                 if shape.need.gpu == 0 && whole.gpu > 0 {
                     // GPU work is not stopped for work without GPUs, nor its room taken.
                     cands.retain(|c| c.need.gpu == 0);
-                    let mut all = soon;
-                    for c in &cands {
-                        all.add(c.need, 1);
+                    if shape.wire.kind == Kind::Service {
+                        let spare =
+                            self.spare(self.lasting_room(idx, m, whole), w.pressing, w.anywhere);
+                        if spare.fits(shape.need) == 0 {
+                            continue;
+                        }
                     }
-                    let spare = self.spare(all, whole, shape);
-                    soon.cpu = soon.cpu.saturating_sub(all.cpu - spare.cpu);
-                    soon.mem = soon.mem.saturating_sub(all.mem - spare.mem);
                 }
                 let chosen = victims(soon, shape.need, shape.wire.priority, cands);
                 let (keys, loss) = match chosen {
@@ -462,17 +557,9 @@
                     // small pieces as it becomes free.
                     None if shape.wire.kind == Kind::Gang || w.shape.gpu > 0 => {
                         let whole = ctx.names.room_of_type(kind);
-                        let lasting = self
-                            .machines
-                            .get(&idx)
-                            .into_iter()
-                            .flat_map(|m| m.tasks.values())
-                            .filter(|t| !t.over())
-                            .filter_map(|t| t.shape.as_ref())
-                            .filter(|s| s.wire.kind == Kind::Service || s.need.gpu > 0);
-                        let mut later = whole;
-                        lasting.for_each(|s| later.sub(s.need, 1));
-                        for c in self.claims.iter().filter(|c| c.machine == idx) {
+                        let mut later = self.lasting_room(idx, m, whole);
+                        let others = |c: &&Claim| c.machine == idx && c.bars(JobId(u64::MAX), rank);
+                        for c in self.claims.iter().filter(others) {
                             later.sub(c.need, 1);
                         }
                         if later.fits(shape.need) == 0 {
@@ -506,29 +593,184 @@
                 until = until.max(now + 3000 + (grace_s * 1000.0) as u64);
                 t.stop = Some(StopWish { grace_s, since: now });
             }
-            self.claims.push(Claim { job, machine: idx, need: shape.need, until, patient });
+            self.claims.push(Claim { job, machine: idx, need: shape.need, until, patient, rank });
             self.dirty.insert(idx);
         }
     }
 
+    /// A replica that keeps a machine from a gang that waits for it: the one of a machine with the
+    /// fewest of them, with its zone and the number of claims that its job has.
+    fn in_the_way(&self, ctx: &Ctx) -> Option<(MachineIdx, Key, Shape, ZoneIdx)> {
+        let now = ctx.now;
+        let replica = |t: &&TaskOn| {
+            !t.over() && t.shape.as_ref().is_some_and(|s| s.wire.kind == Kind::Service)
+        };
+        let mut best: Option<(usize, MachineIdx, Key, Shape, ZoneIdx)> = None;
+        for (&idx, m) in self.machines.iter().filter(|(_, m)| !m.lapsed && !m.released) {
+            let (Some(kind), Some(zone)) = (m.kind, m.zone) else { continue };
+            let whole = ctx.names.room_of_type(kind);
+            if whole.gpu == 0 {
+                continue;
+            }
+            let later = self.lasting_room(idx, m, whole);
+            let blocked = self.waiting.values().any(|o| {
+                let need = Room::of(&o.shape);
+                let mut bare = later;
+                m.tasks.values().filter(replica).for_each(|t| {
+                    if let Some(s) = &t.shape {
+                        bare.add(s.need, 1);
+                    }
+                });
+                o.zone.is_none_or(|z| z == zone)
+                    && ctx.names.allows(&o.shape, kind, m.spot)
+                    && later.fits(need) == 0
+                    && bare.fits(need) > 0
+            });
+            let count = m.tasks.values().filter(replica).count();
+            if !blocked || best.as_ref().is_some_and(|b| b.0 <= count) {
+                continue;
+            }
+            // Not one that has just come, and one at a time.
+            let settled = |t: &TaskOn| {
+                t.stop.is_none()
+                    && t.phase == Phase::On(TaskState::Running)
+                    && t.on_since.is_some_and(|s| now > s + SETTLED_MS)
+            };
+            let movable = m.tasks.iter().find(|(_, t)| replica(t) && settled(t));
+            if let Some((k, Some(s))) = movable.map(|(k, t)| (k, t.shape.clone())) {
+                best = Some((count, idx, *k, s, zone));
+            }
+        }
+        best.map(|b| (b.1, b.2, b.3, b.4))
+    }
+
+    /// Moves replicas from machines that gangs wait for to others, where room is made for them
+    /// first. They got there when there was no other room, and would stay for good.
+    fn move_replicas(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        if now < self.move_at || !ctx.valid || self.waiting.is_empty() {
+            return;
+        }
+        self.move_at = now + MOVE_MS;
+        self.waiting.retain(|_, w| w.until > now);
+        self.claims.retain(|c| c.until > now);
+        let Some((idx, key, shape, zone)) = self.in_the_way(ctx) else { return };
+        let mut zone_room = vec![0; ctx.names.zones.len()];
+        zone_room[zone.0 as usize] = 1;
+        let w = Wanted {
+            job: key.0 .0,
+            shape: shape.wire.clone(),
+            count: 1,
+            zone_room,
+            make_room: true,
+            pressing: false,
+            anywhere: false,
+            line: None,
+        };
+        let claims = |p: &Part| p.claims.iter().filter(|c| c.job == key.0).count();
+        let before = claims(self);
+        self.make_room_on(ctx, &w, &shape, before as u32 + 1, &w.zone_room, false);
+        if claims(self) == before {
+            return;
+        }
+        ctx.out.log(2, "replica_moved", || format!("{} task {} from {}", key.0 .0, key.1, idx.0));
+        if let Some(t) = self.machines.get_mut(&idx).and_then(|m| m.tasks.get_mut(&key)) {
+            t.stop = Some(StopWish { grace_s: 0.0, since: now });
+            self.dirty.insert(idx);
+        }
+    }
+
+    /// Whether a gang that is to be served before this one may use such a machine and waits for
+    /// its zone. Gangs that each held some machines, waiting for the rest, all stood still.
+    fn behind(&self, names: &Names, rank: Rank, kind: TypeIdx, zone: ZoneIdx, spot: bool) -> bool {
+        self.waiting.values().any(|o| {
+            o.rank < rank
+                && o.zone.is_none_or(|z| z == zone)
+                && names.allows(&o.shape, kind, spot)
+                && names.room_of_type(kind).fits(Room::of(&o.shape)) > 0
+        })
+    }
+
+    /// Machines that work of this priority keeps off, since gangs of several tasks that it would
+    /// keep waiting wait for their zone and could use them once the tasks on them end: as many as
+    /// this part's share of those gangs, the least busy first. (Claims do it for lone tasks.)
+    fn expected(&self, ctx: &Ctx, w: &Wanted) -> BTreeSet<MachineIdx> {
+        let mut kept = BTreeSet::new();
+        let line = || {
+            let keeps = |o: &&Waiting| o.zone.is_some() && o.shape.priority >= w.shape.priority;
+            self.waiting.values().filter(keeps)
+        };
+        if w.shape.kind != Kind::Array || w.shape.gpu > 0 || line().next().is_none() {
+            return kept;
+        }
+        let mut by_zone: BTreeMap<ZoneIdx, Vec<(u64, MachineIdx)>> = BTreeMap::new();
+        for (&idx, m) in self.machines.iter().filter(|(_, m)| !m.lapsed && !m.released) {
+            let (Some(kind), Some(zone)) = (m.kind, m.zone) else { continue };
+            let whole = ctx.names.room_of_type(kind);
+            if whole.gpu == 0 {
+                continue;
+            }
+            let later = self.lasting_room(idx, m, whole);
+            let wanted = line().any(|o| {
+                o.zone == Some(zone)
+                    && ctx.names.allows(&o.shape, kind, m.spot)
+                    && later.fits(Room::of(&o.shape)) > 0
+            });
+            if let (true, Some(used)) = (wanted, m.used()) {
+                by_zone.entry(zone).or_default().push((used.cpu, idx));
+            }
+        }
+        for (zone, mut machines) in by_zone {
+            let tasks: u32 = line().filter(|o| o.zone == Some(zone)).map(|o| o.count).sum();
+            machines.sort_unstable();
+            let share = (tasks as usize).div_ceil(ctx.seats().count());
+            kept.extend(machines.into_iter().take(share).map(|m| m.1));
+        }
+        kept
+    }
+
+    fn take_place(&mut self, now: Now, w: &Wanted, line: Line) -> Rank {
+        let job = JobId(w.job);
+        let rank = (std::cmp::Reverse(w.shape.priority), line.late, now + line.due_ms, job);
+        let zone = line.zone.map(ZoneIdx);
+        if line.stands {
+            let until = now + STANDS_MS;
+            let (count, shape) = (w.count, w.shape.clone());
+            self.waiting.insert(job, Waiting { rank, zone, count, shape, until });
+        }
+        rank
+    }
+
     fn offer(&mut self, ctx: &mut Ctx, from: Seat, negotiation: Negotiation, items: &[Wanted]) {
         let now = ctx.now;
         let mut offers = Vec::new();
         let mut coming = Vec::new();
+        self.waiting.retain(|_, w| w.until > now);
         self.gpu_work.retain(|_, t| t.0 + 300_000 > now);
         self.claims.retain(|c| c.until > now);
         for (i, w) in items.iter().enumerate() {
             let shape = ctx.names.shape(&w.shape);
-            if shape.need.gpu > 0 {
-                let n = shape.need;
-                self.gpu_work.insert((n.cpu, n.gpu, n.mem), (now, w.shape.priority));
-            }
+            let rank = w.line.map(|l| self.take_place(now, w, l));
+            let kept = self.expected(ctx, w);
             let mut choices = Vec::new();
             for (&idx, m) in &self.machines {
+                if kept.contains(&idx) {
+                    continue;
+                }
                 let Some((kind, zone)) = self.usable(ctx, idx, m, w) else { continue };
-                let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job)) else { continue };
+                if rank.is_some_and(|r| self.behind(ctx.names, r, kind, zone, m.spot)) {
+                    continue;
+                }
+                let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job), rank) else {
+                    continue;
+                };
                 let whole = ctx.names.room_of_type(kind);
-                free = self.spare(free, whole, &shape);
+                if shape.need.gpu == 0 && whole.gpu > 0 && shape.wire.kind == Kind::Service {
+                    let spare =
+                        self.spare(self.lasting_room(idx, m, whole), w.pressing, w.anywhere);
+                    free.cpu = free.cpu.min(spare.cpu);
+                    free.mem = free.mem.min(spare.mem);
+                }
                 let n = free.fits(shape.need);
                 if n == 0 {
                     continue;
@@ -567,6 +809,7 @@
                     machine: idx,
                     need: shape.need,
                     count: u64::from(count),
+                    lasting: shape.wire.kind == Kind::Service || shape.need.gpu > 0,
                 });
                 offers.push(Offer {
                     item: i as u16,
@@ -582,6 +825,12 @@
                 }
             }
             if w.make_room && wanted > 0 {
+                // A gang makes room only in the zone that it waits for.
+                if let Some(z) = w.line.and_then(|l| l.zone) {
+                    for (i, r) in zone_room.iter_mut().enumerate() {
+                        *r = if i == z as usize { *r } else { 0 };
+                    }
+                }
                 self.make_room(ctx, w, &shape, wanted, &zone_room);
                 let claims = self.claims.iter().filter(|c| c.job.0 == w.job).count();
                 if claims as u32 >= wanted {
@@ -646,6 +895,7 @@
     }
 
     pub fn tick(&mut self, ctx: &mut Ctx) {
+        self.move_replicas(ctx);
         let now = ctx.now;
         let lease = ctx.cfg.worker_lease_ms;
         let mut drop = Vec::new();
@@ -725,3 +975,68 @@
         self.dirty.insert(idx);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GPU_TASK: (u64, u64, u64) = (10_000, 2000, 38_000);
+    const WHOLE: Room = Room { cpu: 12_000, gpu: 2000, mem: 48_000 };
+
+    fn shape(kind: Kind, cpu: u64) -> Shape {
+        let wire = WireShape {
+            kind,
+            priority: Priority::Production,
+            cpu,
+            gpu: 0,
+            mem: 1000,
+            types: None,
+            spot: false,
+            image: "i".into(),
+            image_gb: 1.0,
+            save_s: 0.0,
+            checkpoint_s: 0.0,
+            estimate_s: 0.0,
+        };
+        let wire = Arc::new(wire);
+        Shape { need: Room::of(&wire), image: crate::ids::ImageIdx(0), wire }
+    }
+
+    /// Found on a grown deployment: machines full of short tasks were filled with replicas.
+    #[test]
+    fn services_leave_gpu_room_whatever_short_tasks_run_now() {
+        let mut p = Part::new(Seat(0), Epoch(1), 1, 3);
+        let service = shape(Kind::Service, 2000);
+        assert_eq!(p.spare(WHOLE, false, false).fits(service.need), 0, "not known yet");
+        p.gpu_work.insert(GPU_TASK, (1, Priority::Normal));
+        let mut m = Machine::new(1);
+        for (task, s) in [(0, shape(Kind::Array, 9000)), (1, service.clone())] {
+            let t = TaskOn::new(Some(s), Phase::On(TaskState::Running), 1);
+            m.tasks.insert((JobId(9), task, Attempt(1)), t);
+        }
+        let empty = p.lasting_room(MachineIdx(0), &Machine::new(1), WHOLE);
+        assert_eq!(p.spare(empty, false, false).fits(service.need), 1, "one beside it");
+        let later = p.lasting_room(MachineIdx(0), &m, WHOLE);
+        assert_eq!(p.spare(later, false, false).fits(service.need), 0);
+        assert!(p.spare(later, false, true).fits(service.need) > 0, "asked in vain for long");
+    }
+
+    /// Found on a grown deployment: gangs that each held some machines all stood still.
+    #[test]
+    fn set_aside_room_yields_to_older_gangs_only() {
+        let rank = |due| (std::cmp::Reverse(Priority::Normal), 0, due, JobId(due));
+        let claim = |patient| Claim {
+            job: JobId(5),
+            machine: MachineIdx(0),
+            need: WHOLE,
+            until: 9,
+            patient,
+            rank: Some(rank(5)),
+        };
+        assert!(!claim(true).bars(JobId(4), Some(rank(4))), "an older gang takes it");
+        assert!(claim(true).bars(JobId(6), Some(rank(6))));
+        assert!(claim(true).bars(JobId(4), None), "other work does not");
+        assert!(!claim(true).bars(JobId(5), Some(rank(5))));
+        assert!(claim(false).bars(JobId(4), Some(rank(4))), "tasks were stopped for it");
+    }
+}
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -20,6 +20,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_local, LocalSet};
 
+/// The core's clock starts here and not at 0, so that a job submitted before this process
+/// started has a time of its own on it: else all were new again after a restart, and their order
+/// and urgency lost.
+const CLOCK_FROM: u64 = 100 * 24 * 3_600_000;
 const TICK: Duration = Duration::from_millis(100);
 const EVENTS: usize = 1000;
 const STORE_LIMIT: Duration = Duration::from_millis(2000);
@@ -84,9 +88,9 @@
             .collect(),
         replies: HashMap::new(),
     };
-    let mut core = Node::new(&s, boot, 0);
+    let mut core = Node::new(&s, boot, CLOCK_FROM);
     tracing::info!(node = %s.node, "started");
-    let now = move || start.elapsed().as_millis() as u64 + 1;
+    let now = move || CLOCK_FROM + start.elapsed().as_millis() as u64 + 1;
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -44,6 +44,23 @@
     pub make_room: bool,
     /// More than a third of the time that its aim allows is over.
     pub pressing: bool,
+    /// It may take room that GPU work could use.
+    pub anywhere: bool,
+    /// A gang's place in the line.
+    pub line: Option<Line>,
+}
+
+/// A gang's place among those that wait: they are served in this order, so that none holds
+/// some of what it needs while another holds the rest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Line {
+    /// Aims that it has missed already, and the time left to the next.
+    pub late: u8,
+    pub due_ms: u64,
+    /// Younger gangs get nothing in this zone (none: in any) until it is served. Not set by a
+    /// gang that asks for the first time.
+    pub stands: bool,
+    pub zone: Option<u8>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -135,9 +152,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SeatMsg {
     /// Coordinator to participant.
+    /// `gpu_work`: what GPU work there is at the sender, asked for or not: cores, GPUs and MB of
+    /// a task as in `Shape`, and its priority.
     Request {
         negotiation: u64,
         items: Vec<Wanted>,
+        gpu_work: Vec<(u64, u64, u64, Priority)>,
     },
     /// The negotiation is over: its holds end. Winners were named by `Place` before.
     Close {
