One loop over GPU machines, one meaning of lasting work; drop what the line left dead

Behaviour is the same. Gangs of one task no longer stand in line, so a place without a zone was dead; the same walk over GPU machines stood twice; make_room had a wrapper with one caller; room without replicas was summed anew for every waiting gang.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -28,7 +28,8 @@
     pub team: Option<(u8, u64, u64)>,
 }
 
-/// A service asked for in vain this often in a row, which takes about 9 s, may stand in the way of GPU work.
+/// A service asked for in vain this often in a row, which takes about 9 s, may stand in the way
+/// of GPU work.
 const LONG_REFUSED: u32 = 20;
 
 /// A task's completion: task, attempt, machine, round.
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -2,7 +2,7 @@
 use crate::ids::{ImageIdx, MachineIdx, TypeIdx, ZoneIdx};
 use leaddeal_wire::cloud::{Catalog, MachineType};
 use leaddeal_wire::mesh;
-use leaddeal_wire::user::Priority;
+use leaddeal_wire::user::{Kind, Priority};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -74,6 +74,13 @@
     pub image: ImageIdx,
 }
 
+impl Shape {
+    /// Stays on its machine for long: a service, or GPU work.
+    pub fn lasting(&self) -> bool {
+        self.wire.kind == Kind::Service || self.need.gpu > 0
+    }
+}
+
 #[derive(Default, Debug)]
 pub struct Names {
     machines: Interner,
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -62,11 +62,11 @@
     }
 }
 
-/// A gang that waits for room, and for which zone (none: for any).
+/// A gang of several tasks that waits for room in a zone.
 #[derive(Clone, Debug)]
 struct Waiting {
     rank: Rank,
-    zone: Option<ZoneIdx>,
+    zone: ZoneIdx,
     count: u32,
     shape: Arc<WireShape>,
     until: Now,
@@ -428,9 +428,8 @@
     /// A machine's room less what stays there for long: services, and GPU work.
     fn lasting_room(&self, idx: MachineIdx, m: &Machine, whole: Room) -> Room {
         let mut later = whole;
-        let stay = |s: &Shape| s.wire.kind == Kind::Service || s.need.gpu > 0;
         for s in m.tasks.values().filter(|t| !t.over()).filter_map(|t| t.shape.as_ref()) {
-            if stay(s) {
+            if s.lasting() {
                 later.sub(s.need, 1);
             }
         }
@@ -440,6 +439,19 @@
         later
     }
 
+    /// The machines with GPUs: type, zone and lasting room.
+    fn gpu_machines<'a>(
+        &'a self,
+        names: &'a Names,
+    ) -> impl Iterator<Item = (MachineIdx, &'a Machine, TypeIdx, ZoneIdx, Room)> {
+        let here = self.machines.iter().filter(|(_, m)| !m.lapsed && !m.released);
+        here.filter_map(|(&idx, m)| {
+            let (kind, zone) = (m.kind?, m.zone?);
+            let whole = names.room_of_type(kind);
+            (whole.gpu > 0).then(|| (idx, m, kind, zone, self.lasting_room(idx, m, whole)))
+        })
+    }
+
     /// What a service may use of a GPU machine whose lasting room this is: it stays, and leaves
     /// enough for the GPU work that is known. Seen from the room that is free just now, a machine
     /// full of short tasks looked lost to GPU work anyway, and services filled it for good.
@@ -462,13 +474,9 @@
         left
     }
 
-    /// Stops less important tasks so that up to `count` tasks of the job find room soon.
-    fn make_room(&mut self, ctx: &mut Ctx, w: &Wanted, shape: &Shape, count: u32, zones: &[u32]) {
-        self.make_room_on(ctx, w, shape, count, zones, true);
-    }
-
-    /// The same, on machines with GPUs too or not.
-    fn make_room_on(
+    /// Stops less important tasks so that up to `count` tasks of the job find room soon, on
+    /// machines with GPUs too or not.
+    fn make_room(
         &mut self,
         ctx: &mut Ctx,
         w: &Wanted,
@@ -501,8 +509,8 @@
                     continue;
                 }
                 let Some((kind, zone)) = self.usable(ctx, idx, m, w) else { continue };
-                // Of gangs of several tasks only the first in line has machines set aside: when each
-                // held some, all stood still.
+                // Of gangs of several tasks only the first in line has machines set aside: when
+                // each held some, all stood still.
                 let several = w.line.is_some_and(|l| l.zone.is_some());
                 if several && rank.is_some_and(|r| self.behind(ctx.names, r, kind, zone, m.spot)) {
                     continue;
@@ -598,30 +606,22 @@
         }
     }
 
-    /// A replica that keeps a machine from a gang that waits for it: the one of a machine with the
-    /// fewest of them, with its zone and the number of claims that its job has.
+    /// A replica that keeps a machine from a gang that waits for it: one of the machine with the
+    /// fewest of them.
     fn in_the_way(&self, ctx: &Ctx) -> Option<(MachineIdx, Key, Shape, ZoneIdx)> {
         let now = ctx.now;
         let replica = |t: &&TaskOn| {
             !t.over() && t.shape.as_ref().is_some_and(|s| s.wire.kind == Kind::Service)
         };
         let mut best: Option<(usize, MachineIdx, Key, Shape, ZoneIdx)> = None;
-        for (&idx, m) in self.machines.iter().filter(|(_, m)| !m.lapsed && !m.released) {
-            let (Some(kind), Some(zone)) = (m.kind, m.zone) else { continue };
-            let whole = ctx.names.room_of_type(kind);
-            if whole.gpu == 0 {
-                continue;
+        for (idx, m, kind, zone, later) in self.gpu_machines(ctx.names) {
+            let mut bare = later;
+            for s in m.tasks.values().filter(replica).filter_map(|t| t.shape.as_ref()) {
+                bare.add(s.need, 1);
             }
-            let later = self.lasting_room(idx, m, whole);
             let blocked = self.waiting.values().any(|o| {
                 let need = Room::of(&o.shape);
-                let mut bare = later;
-                m.tasks.values().filter(replica).for_each(|t| {
-                    if let Some(s) = &t.shape {
-                        bare.add(s.need, 1);
-                    }
-                });
-                o.zone.is_none_or(|z| z == zone)
+                o.zone == zone
                     && ctx.names.allows(&o.shape, kind, m.spot)
                     && later.fits(need) == 0
                     && bare.fits(need) > 0
@@ -630,7 +630,7 @@
             if !blocked || best.as_ref().is_some_and(|b| b.0 <= count) {
                 continue;
             }
-            // Not one that has just come, and one at a time.
+            // Not one that has just come.
             let settled = |t: &TaskOn| {
                 t.stop.is_none()
                     && t.phase == Phase::On(TaskState::Running)
@@ -669,7 +669,7 @@
         };
         let claims = |p: &Part| p.claims.iter().filter(|c| c.job == key.0).count();
         let before = claims(self);
-        self.make_room_on(ctx, &w, &shape, before as u32 + 1, &w.zone_room, false);
+        self.make_room(ctx, &w, &shape, before as u32 + 1, &w.zone_room, false);
         if claims(self) == before {
             return;
         }
@@ -685,7 +685,7 @@
     fn behind(&self, names: &Names, rank: Rank, kind: TypeIdx, zone: ZoneIdx, spot: bool) -> bool {
         self.waiting.values().any(|o| {
             o.rank < rank
-                && o.zone.is_none_or(|z| z == zone)
+                && o.zone == zone
                 && names.allows(&o.shape, kind, spot)
                 && names.room_of_type(kind).fits(Room::of(&o.shape)) > 0
         })
@@ -697,22 +697,16 @@
     fn expected(&self, ctx: &Ctx, w: &Wanted) -> BTreeSet<MachineIdx> {
         let mut kept = BTreeSet::new();
         let line = || {
-            let keeps = |o: &&Waiting| o.zone.is_some() && o.shape.priority >= w.shape.priority;
+            let keeps = |o: &&Waiting| o.shape.priority >= w.shape.priority;
             self.waiting.values().filter(keeps)
         };
         if w.shape.kind != Kind::Array || w.shape.gpu > 0 || line().next().is_none() {
             return kept;
         }
         let mut by_zone: BTreeMap<ZoneIdx, Vec<(u64, MachineIdx)>> = BTreeMap::new();
-        for (&idx, m) in self.machines.iter().filter(|(_, m)| !m.lapsed && !m.released) {
-            let (Some(kind), Some(zone)) = (m.kind, m.zone) else { continue };
-            let whole = ctx.names.room_of_type(kind);
-            if whole.gpu == 0 {
-                continue;
-            }
-            let later = self.lasting_room(idx, m, whole);
+        for (idx, m, kind, zone, later) in self.gpu_machines(ctx.names) {
             let wanted = line().any(|o| {
-                o.zone == Some(zone)
+                o.zone == zone
                     && ctx.names.allows(&o.shape, kind, m.spot)
                     && later.fits(Room::of(&o.shape)) > 0
             });
@@ -721,7 +715,7 @@
             }
         }
         for (zone, mut machines) in by_zone {
-            let tasks: u32 = line().filter(|o| o.zone == Some(zone)).map(|o| o.count).sum();
+            let tasks: u32 = line().filter(|o| o.zone == zone).map(|o| o.count).sum();
             machines.sort_unstable();
             let share = (tasks as usize).div_ceil(ctx.seats().count());
             kept.extend(machines.into_iter().take(share).map(|m| m.1));
@@ -732,8 +726,7 @@
     fn take_place(&mut self, now: Now, w: &Wanted, line: Line) -> Rank {
         let job = JobId(w.job);
         let rank = (std::cmp::Reverse(w.shape.priority), line.late, now + line.due_ms, job);
-        let zone = line.zone.map(ZoneIdx);
-        if line.stands {
+        if let (true, Some(zone)) = (line.stands, line.zone.map(ZoneIdx)) {
             let until = now + STANDS_MS;
             let (count, shape) = (w.count, w.shape.clone());
             self.waiting.insert(job, Waiting { rank, zone, count, shape, until });
@@ -809,7 +802,7 @@
                     machine: idx,
                     need: shape.need,
                     count: u64::from(count),
-                    lasting: shape.wire.kind == Kind::Service || shape.need.gpu > 0,
+                    lasting: shape.lasting(),
                 });
                 offers.push(Offer {
                     item: i as u16,
@@ -831,7 +824,7 @@
                         *r = if i == z as usize { *r } else { 0 };
                     }
                 }
-                self.make_room(ctx, w, &shape, wanted, &zone_room);
+                self.make_room(ctx, w, &shape, wanted, &zone_room, true);
                 let claims = self.claims.iter().filter(|c| c.job.0 == w.job).count();
                 if claims as u32 >= wanted {
                     coming.push(i as u16);
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -57,9 +57,10 @@
     /// Aims that it has missed already, and the time left to the next.
     pub late: u8,
     pub due_ms: u64,
-    /// Younger gangs get nothing in this zone (none: in any) until it is served. Not set by a
-    /// gang that asks for the first time.
+    /// Younger gangs get nothing in its zone until it is served. Not set by a gang that asks for
+    /// the first time, or has one task.
     pub stands: bool,
+    /// The zone that a gang of several tasks waits for.
     pub zone: Option<u8>,
 }
 
