--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -91,6 +91,17 @@
     pub direct_after: Now,
     /// The lease ran out by our count; whatever ran there is gone.
     pub lapsed: bool,
+    load: Load,
+}
+
+/// What is on a machine, summed up whenever that changes: every request looks at every machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Load {
+    /// None: something unknown is on it.
+    used: Option<Room>,
+    /// Of services and GPU work, which stay for long.
+    lasting: Room,
+    gpu_work: bool,
 }
 
 impl Machine {
@@ -116,6 +127,7 @@
             direct: None,
             direct_after: 0,
             lapsed: false,
+            load: Load { used: Some(Room::default()), lasting: Room::default(), gpu_work: false },
         }
     }
 
@@ -206,6 +218,7 @@
             self.busy_at = now;
         }
         self.sweep();
+        self.recount();
         true
     }
 
@@ -227,15 +240,49 @@
         }
         self.direct = None;
         self.sweep();
+        self.recount();
     }
 
-    /// Room taken by what is, or may come to be, on it. None: something unknown is on it.
-    pub fn used(&self) -> Option<Room> {
-        let mut r = Room::default();
+    fn sum_up(&self) -> Load {
+        let mut l = Load { used: Some(Room::default()), lasting: Room::default(), gpu_work: false };
         for t in self.tasks.values().filter(|t| !t.over()) {
-            r.add(t.shape.as_ref()?.need, 1);
+            let Some(s) = &t.shape else {
+                l.used = None;
+                continue;
+            };
+            if let Some(u) = &mut l.used {
+                u.add(s.need, 1);
+            }
+            if s.lasting() {
+                l.lasting.add(s.need, 1);
+            }
+            l.gpu_work |= s.need.gpu > 0;
         }
-        Some(r)
+        l
+    }
+
+    /// To be called whenever a task comes, ends, or its shape becomes known.
+    pub fn recount(&mut self) {
+        self.load = self.sum_up();
+    }
+
+    fn load(&self) -> Load {
+        debug_assert_eq!(self.load, self.sum_up(), "a change was not counted");
+        self.load
+    }
+
+    /// Room taken by what is, or may come to be, on it. None: something unknown is on it.
+    pub fn used(&self) -> Option<Room> {
+        self.load().used
+    }
+
+    /// Room taken by services and GPU work.
+    pub fn lasting(&self) -> Room {
+        self.load().lasting
+    }
+
+    pub fn has_gpu_work(&self) -> bool {
+        self.load().gpu_work
     }
 
     /// Commands for the answer to a report.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -56,13 +56,15 @@
 
 /// The seat whose part a machine belongs to.
 pub fn seat_of_machine(name: &str, seats: usize) -> Seat {
-    let digits: String = name.chars().filter(|c| c.is_ascii_digit()).collect();
     // Machines are named in order: going round shares them out evenly.
-    let n = match digits.parse::<u64>() {
-        Ok(n) => n,
-        Err(_) => {
-            mix(name.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b) + 1)))
-        }
-    };
+    let mut digits =
+        name.bytes().filter(u8::is_ascii_digit).map(|b| u64::from(b - b'0')).peekable();
+    let number = digits
+        .peek()
+        .is_some()
+        .then(|| digits.try_fold(0u64, |n, d| n.checked_mul(10)?.checked_add(d)));
+    let n = number.flatten().unwrap_or_else(|| {
+        mix(name.bytes().fold(7u64, |h, b| h.wrapping_mul(31).wrapping_add(u64::from(b) + 1)))
+    });
     Seat((n % seats as u64) as u8)
 }
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -87,6 +87,8 @@
     images: Interner,
     pub zones: Vec<String>,
     pub catalog: Vec<MachineType>,
+    /// Room of each type in the catalog: asked for at every look at a machine.
+    rooms: Vec<Room>,
 }
 
 impl Names {
@@ -120,15 +122,17 @@
                 None => {}
             }
         }
+        let milli = |v: f64| (v * 1000.0 + 1e-6).floor() as u64;
+        let room = |t: &MachineType| Room {
+            cpu: milli(t.cpus),
+            gpu: milli(t.gpus),
+            mem: milli(t.memory_gb),
+        };
+        self.rooms = self.catalog.iter().map(room).collect();
     }
 
     pub fn room_of_type(&self, t: TypeIdx) -> Room {
-        let t = &self.catalog[t.0 as usize];
-        Room {
-            cpu: (t.cpus * 1000.0 + 1e-6).floor() as u64,
-            gpu: (t.gpus * 1000.0 + 1e-6).floor() as u64,
-            mem: (t.memory_gb * 1000.0 + 1e-6).floor() as u64,
-        }
+        self.rooms[t.0 as usize]
     }
 
     pub fn shape(&mut self, wire: &Arc<mesh::Shape>) -> Shape {
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -12,7 +12,8 @@
 };
 use leaddeal_wire::user::{Kind, Priority};
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 
 /// Answers to a report name at most this many commands.
@@ -34,7 +35,6 @@
     seat: Seat,
     negotiation: Negotiation,
     job: JobId,
-    machine: MachineIdx,
     need: Room,
     count: u64,
     /// For a service or GPU work, which stays for long.
@@ -69,11 +69,61 @@
     zone: ZoneIdx,
     count: u32,
     shape: Arc<WireShape>,
+    fits: Fits,
     until: Now,
 }
 
+impl Waiting {
+    fn could_use(&self, kind: TypeIdx, zone: ZoneIdx, spot: bool) -> bool {
+        self.zone == zone && fit(&self.fits, kind, spot).is_some_and(|f| f.allowed)
+    }
+}
+
+/// What holds for a job on a type of machine, ordinary or spot: worked out once for all of them.
+#[derive(Clone, Copy, Debug)]
+struct Fit {
+    /// Allowed, and a whole machine has room for a task.
+    allowed: bool,
+    /// A GPU machine that is dear for work without GPUs.
+    dear: bool,
+}
+
+/// What room is to be made for.
+struct Seek<'a> {
+    w: &'a Wanted,
+    shape: &'a Shape,
+    fits: Fits,
+    rank: Option<Rank>,
+    /// How many tasks each zone may take.
+    zones: &'a [u32],
+    /// Machines with GPUs too.
+    gpus: bool,
+}
+
+/// By type, for ordinary and spot machines.
+type Fits = Vec<[Fit; 2]>;
+
+fn fits_of(names: &Names, shape: &WireShape, pressing: bool) -> Fits {
+    let need = Room::of(shape);
+    let fit = |t: TypeIdx, spot: bool| {
+        let whole = names.room_of_type(t);
+        Fit {
+            allowed: names.allows(shape, t, spot) && whole.fits(need) > 0,
+            dear: shape.gpu == 0 && whole.gpu > 0 && !names.affordable(shape, t, spot, pressing),
+        }
+    };
+    (0..names.catalog.len() as u8)
+        .map(|t| [fit(TypeIdx(t), false), fit(TypeIdx(t), true)])
+        .collect()
+}
+
+/// What is known of a type of machine; none: a type that came later than the request.
+fn fit(fits: &Fits, kind: TypeIdx, spot: bool) -> Option<&Fit> {
+    Some(&fits.get(kind.0 as usize)?[usize::from(spot)])
+}
+
 /// Priority, aims missed, when the next is due, and the job: the lesser is served first.
-type Rank = (std::cmp::Reverse<Priority>, u8, Now, JobId);
+type Rank = (Reverse<Priority>, u8, Now, JobId);
 
 #[derive(Debug)]
 pub struct Part {
@@ -83,7 +133,7 @@
     pub machines: BTreeMap<MachineIdx, Machine>,
     /// Machines up to this name are the operator's own.
     pub base: Option<String>,
-    holds: Vec<Hold>,
+    holds: BTreeMap<MachineIdx, Vec<Hold>>,
     claims: Vec<Claim>,
     asked_at: Now,
     /// The newest epoch heard of, by coordinator's seat.
@@ -104,7 +154,7 @@
             since: now,
             machines: BTreeMap::new(),
             base: None,
-            holds: Vec::new(),
+            holds: BTreeMap::new(),
             claims: Vec::new(),
             asked_at: now,
             coordinators: vec![Epoch(0); seats],
@@ -255,7 +305,7 @@
                 self.offer(ctx, from, Negotiation(negotiation), &items);
             }
             SeatMsg::Close { negotiation } => {
-                self.holds.retain(|h| h.seat != from || h.negotiation.0 != negotiation);
+                self.release_holds(|h| h.seat == from && h.negotiation.0 == negotiation);
             }
             SeatMsg::Place { job, shape, picks, adopt } => {
                 self.waiting.remove(&JobId(job));
@@ -290,12 +340,23 @@
         }
         if epoch > *known {
             *known = epoch;
-            self.holds.retain(|h| h.seat != seat);
+            self.release_holds(|h| h.seat == seat);
             self.dirty.extend(self.machines.keys().copied());
         }
         true
     }
 
+    fn release_holds(&mut self, over: impl Fn(&Hold) -> bool) {
+        self.holds.retain(|_, list| {
+            list.retain(|h| !over(h));
+            !list.is_empty()
+        });
+    }
+
+    fn held(&self, idx: MachineIdx) -> &[Hold] {
+        self.holds.get(&idx).map_or(&[], Vec::as_slice)
+    }
+
     fn place(
         &mut self,
         ctx: &mut Ctx,
@@ -306,11 +367,8 @@
         adopt: bool,
     ) {
         let idx = ctx.names.machine(&p.machine);
-        if let Some(h) = self
-            .holds
-            .iter_mut()
-            .find(|h| h.seat == from && h.job == job && h.machine == idx && h.count > 0)
-        {
+        let mut held = self.holds.get_mut(&idx).into_iter().flatten();
+        if let Some(h) = held.find(|h| h.seat == from && h.job == job && h.count > 0) {
             h.count -= 1;
         }
         let claimed = |c: &Claim| c.job == job && c.machine == idx;
@@ -331,6 +389,7 @@
         t.shape = Some(shape.clone());
         // Tell again whatever there is to tell: the sender does not know it.
         t.told = None;
+        m.recount();
         self.dirty.insert(idx);
     }
 
@@ -362,6 +421,7 @@
             t.phase = Phase::Gone;
         }
         t.told = None;
+        m.recount();
         self.dirty.insert(idx);
     }
 
@@ -375,7 +435,7 @@
     ) -> Option<Room> {
         let mut free = names.room_of_type(m.kind?);
         free.sub(m.used()?, 1);
-        for h in self.holds.iter().filter(|h| h.machine == idx) {
+        for h in self.held(idx) {
             free.sub(h.need, h.count);
         }
         for c in self.claims.iter().filter(|c| c.machine == idx && c.bars(job, rank)) {
@@ -391,8 +451,11 @@
         idx: MachineIdx,
         m: &Machine,
         w: &Wanted,
+        fits: &Fits,
     ) -> Option<(TypeIdx, ZoneIdx)> {
         let now = ctx.now;
+        let (kind, zone) = (m.kind?, m.zone?);
+        let fit = fit(fits, kind, m.spot).filter(|f| f.allowed)?;
         let usable = !m.draining
             && !m.released
             && !m.lapsed
@@ -401,39 +464,25 @@
             && m.shunned_until <= now
             && now < m.heard + ctx.cfg.quiet_ms
             && !m.failed.iter().any(|f| f.0 .0 == w.job && f.1 + SHUN_MS > now);
-        let (kind, zone) = (m.kind?, m.zone?);
         // Cheap work does not keep a machine that is dear for it, unless that is paid anyway:
         // for the GPU work on it, or because it is never returned.
         let dear = || {
-            let whole = ctx.names.room_of_type(kind);
-            let gpu_work = || {
-                let on = |t: &TaskOn| t.shape.as_ref().is_some_and(|s| s.need.gpu > 0);
-                // Services stay for long, and would keep it when that work is over.
-                w.shape.kind != Kind::Service && m.tasks.values().any(|t| !t.over() && on(t))
-            };
+            // Services stay for long, and would keep it when that work is over.
+            let gpu_work = || w.shape.kind != Kind::Service && m.has_gpu_work();
             let own = || {
                 let name = ctx.names.machine_name(idx);
                 self.base.as_ref().is_some_and(|b| older(name, b))
             };
-            w.shape.gpu == 0
-                && whole.gpu > 0
-                && !ctx.names.affordable(&w.shape, kind, m.spot, w.pressing)
-                && !gpu_work()
-                && !own()
+            fit.dear && !gpu_work() && !own()
         };
-        let usable = usable && !dear();
-        (usable && ctx.names.allows(&w.shape, kind, m.spot)).then_some((kind, zone))
+        (usable && !dear()).then_some((kind, zone))
     }
 
     /// A machine's room less what stays there for long: services, and GPU work.
     fn lasting_room(&self, idx: MachineIdx, m: &Machine, whole: Room) -> Room {
         let mut later = whole;
-        for s in m.tasks.values().filter(|t| !t.over()).filter_map(|t| t.shape.as_ref()) {
-            if s.lasting() {
-                later.sub(s.need, 1);
-            }
-        }
-        for h in self.holds.iter().filter(|h| h.machine == idx && h.lasting) {
+        later.sub(m.lasting(), 1);
+        for h in self.held(idx).iter().filter(|h| h.lasting) {
             later.sub(h.need, h.count);
         }
         later
@@ -488,6 +537,8 @@
         let now = ctx.now;
         let job = JobId(w.job);
         let rank = self.waiting.get(&job).map(|w| w.rank);
+        let seek =
+            Seek { w, shape, fits: fits_of(ctx.names, &w.shape, w.pressing), rank, zones, gpus };
         let have = self.claims.iter().filter(|c| c.job == job).count() as u32;
         let lasts = |c: &Claim| {
             let m = self.machines.get(&c.machine).filter(|m| !m.lapsed && m.notice.is_none())?;
@@ -501,94 +552,21 @@
                 c.until = now + 3000;
             }
         }
-        for _ in have..count.min(have + 32) {
-            let mut best: Option<(u64, bool, MachineIdx, Vec<Key>)> = None;
-            for (&idx, m) in &self.machines {
-                // Set aside for work that waits for it: not taken from under it.
-                if self.claims.iter().any(|c| c.machine == idx && c.patient && c.bars(job, rank)) {
-                    continue;
-                }
-                let Some((kind, zone)) = self.usable(ctx, idx, m, w) else { continue };
-                // Of gangs of several tasks only the first in line has machines set aside: when
-                // each held some, all stood still.
-                let several = w.line.is_some_and(|l| l.zone.is_some());
-                if several && rank.is_some_and(|r| self.behind(ctx.names, r, kind, zone, m.spot)) {
-                    continue;
-                }
-                if !gpus && ctx.names.room_of_type(kind).gpu > 0 {
-                    continue;
-                }
-                if zones.get(zone.0 as usize).is_none_or(|&r| r == 0) {
-                    continue;
-                }
-                let Some(mut soon) = self.free(idx, m, ctx.names, JobId(u64::MAX), rank) else {
-                    continue;
-                };
-                // Nothing is idle here by the usual count, or it would have been offered; what
-                // is being stopped already will be free soon.
-                let mut cands = Vec::new();
-                for (k, t) in m.tasks.iter().filter(|(_, t)| !t.over()) {
-                    let Some(s) = &t.shape else { continue };
-                    if t.stop.is_some() {
-                        soon.add(s.need, 1);
-                        continue;
-                    }
-                    let ran = t.on_since.map_or(0, |s| now.saturating_sub(s)) / 1000;
-                    let lost = match s.wire.checkpoint_s {
-                        c if c > 0.0 => ran.min(s.wire.save_s as u64 + 1),
-                        _ => ran,
-                    };
-                    cands.push(Candidate {
-                        key: *k,
-                        priority: s.wire.priority,
-                        need: s.need,
-                        loss: lost * (s.need.cpu + 20 * s.need.gpu),
-                    });
-                }
-                let whole = ctx.names.room_of_type(kind);
-                if shape.need.gpu == 0 && whole.gpu > 0 {
-                    // GPU work is not stopped for work without GPUs, nor its room taken.
-                    cands.retain(|c| c.need.gpu == 0);
-                    if shape.wire.kind == Kind::Service {
-                        let spare =
-                            self.spare(self.lasting_room(idx, m, whole), w.pressing, w.anywhere);
-                        if spare.fits(shape.need) == 0 {
-                            continue;
-                        }
-                    }
-                }
-                let chosen = victims(soon, shape.need, shape.wire.priority, cands);
-                let (keys, loss) = match chosen {
-                    Some(c) => c,
-                    // Nobody may be stopped for it, but who is there will be done some time:
-                    // set the machine aside for it, so that the room does not go to others in
-                    // small pieces as it becomes free.
-                    None if shape.wire.kind == Kind::Gang || w.shape.gpu > 0 => {
-                        let whole = ctx.names.room_of_type(kind);
-                        let mut later = self.lasting_room(idx, m, whole);
-                        let others = |c: &&Claim| c.machine == idx && c.bars(JobId(u64::MAX), rank);
-                        for c in self.claims.iter().filter(others) {
-                            later.sub(c.need, 1);
-                        }
-                        if later.fits(shape.need) == 0 {
-                            continue;
-                        }
-                        let busy = whole.cpu.saturating_sub(soon.cpu);
-                        (Vec::new(), PATIENT + busy)
-                    }
-                    None => continue,
-                };
-                let far = !m.has_image(shape.image);
-                // Waiting for the image, too, is lost time.
-                let fetch_s = if far { ctx.names.fetch_s(kind, w.shape.image_gb) } else { 0.0 };
-                let loss = loss + (fetch_s * 3.0) as u64 * shape.need.cpu;
-                if best.as_ref().is_none_or(|b| (loss, far) < (b.0, b.1)) {
-                    best = Some((loss, far, idx, keys));
-                }
-            }
-            let Some((loss, _, idx, keys)) = best else { return };
+        // What is done to one machine leaves the others as they are: each is judged once, and
+        // again only after it was chosen.
+        let look = |p: &Part, ctx: &Ctx, idx: MachineIdx| {
+            let (cost, keys) = p.sacrifice(ctx, &seek, idx, p.machines.get(&idx)?)?;
+            Some((Reverse((cost, idx)), keys))
+        };
+        let wanted = count.min(have + 32).saturating_sub(have);
+        if wanted == 0 {
+            return;
+        }
+        let mut best: BinaryHeap<_> =
+            self.machines.keys().filter_map(|&idx| look(self, ctx, idx)).collect();
+        for _ in 0..wanted {
+            let Some((Reverse(((loss, _), idx)), keys)) = best.pop() else { return };
             let patient = loss >= PATIENT;
-
             let mut until = now + 3000;
             let Some(m) = self.machines.get_mut(&idx) else { return };
             for k in keys {
@@ -603,9 +581,97 @@
             }
             self.claims.push(Claim { job, machine: idx, need: shape.need, until, patient, rank });
             self.dirty.insert(idx);
+            best.extend(look(self, ctx, idx));
         }
     }
 
+    /// What it would cost to make room for a task of the job on this machine, and whom to stop.
+    fn sacrifice(
+        &self,
+        ctx: &Ctx,
+        seek: &Seek,
+        idx: MachineIdx,
+        m: &Machine,
+    ) -> Option<((u64, bool), Vec<Key>)> {
+        let Seek { w, shape, ref fits, rank, zones, gpus } = *seek;
+        let now = ctx.now;
+        let job = JobId(w.job);
+        let (kind, zone) = self.usable(ctx, idx, m, w, fits)?;
+        if zones.get(zone.0 as usize).is_none_or(|&r| r == 0) {
+            return None;
+        }
+        let whole = ctx.names.room_of_type(kind);
+        if !gpus && whole.gpu > 0 {
+            return None;
+        }
+        // Set aside for work that waits for it: not taken from under it.
+        if self.claims.iter().any(|c| c.machine == idx && c.patient && c.bars(job, rank)) {
+            return None;
+        }
+        // Of gangs of several tasks only the first in line has machines set aside: when each
+        // held some, all stood still.
+        let several = w.line.is_some_and(|l| l.zone.is_some());
+        if several && rank.is_some_and(|r| self.behind(r, kind, zone, m.spot)) {
+            return None;
+        }
+        let mut soon = self.free(idx, m, ctx.names, JobId(u64::MAX), rank)?;
+        // Nothing is idle here by the usual count, or it would have been offered; what is being
+        // stopped already will be free soon.
+        let mut cands = Vec::new();
+        for (k, t) in m.tasks.iter().filter(|(_, t)| !t.over()) {
+            let Some(s) = &t.shape else { continue };
+            if t.stop.is_some() {
+                soon.add(s.need, 1);
+                continue;
+            }
+            // GPU work is not stopped for work without GPUs, nor its room taken.
+            let safe = shape.need.gpu == 0 && s.need.gpu > 0;
+            if safe || s.wire.priority >= shape.wire.priority {
+                continue;
+            }
+            let ran = t.on_since.map_or(0, |s| now.saturating_sub(s)) / 1000;
+            let lost = match s.wire.checkpoint_s {
+                c if c > 0.0 => ran.min(s.wire.save_s as u64 + 1),
+                _ => ran,
+            };
+            cands.push(Candidate {
+                key: *k,
+                priority: s.wire.priority,
+                need: s.need,
+                loss: lost * (s.need.cpu + 20 * s.need.gpu),
+            });
+        }
+        if shape.need.gpu == 0 && whole.gpu > 0 && shape.wire.kind == Kind::Service {
+            let spare = self.spare(self.lasting_room(idx, m, whole), w.pressing, w.anywhere);
+            if spare.fits(shape.need) == 0 {
+                return None;
+            }
+        }
+        let (keys, loss) = match victims(soon, shape.need, shape.wire.priority, cands) {
+            Some(c) => c,
+            // Nobody may be stopped for it, but who is there will be done some time: set the
+            // machine aside for it, so that the room does not go to others in small pieces as
+            // it becomes free.
+            None if shape.wire.kind == Kind::Gang || w.shape.gpu > 0 => {
+                let mut later = self.lasting_room(idx, m, whole);
+                let others = |c: &&Claim| c.machine == idx && c.bars(JobId(u64::MAX), rank);
+                for c in self.claims.iter().filter(others) {
+                    later.sub(c.need, 1);
+                }
+                if later.fits(shape.need) == 0 {
+                    return None;
+                }
+                let busy = whole.cpu.saturating_sub(soon.cpu);
+                (Vec::new(), PATIENT + busy)
+            }
+            None => return None,
+        };
+        let far = !m.has_image(shape.image);
+        // Waiting for the image, too, is lost time.
+        let fetch_s = if far { ctx.names.fetch_s(kind, w.shape.image_gb) } else { 0.0 };
+        Some(((loss + (fetch_s * 3.0) as u64 * shape.need.cpu, far), keys))
+    }
+
     /// A replica that keeps a machine from a gang that waits for it: one of the machine with the
     /// fewest of them.
     fn in_the_way(&self, ctx: &Ctx) -> Option<(MachineIdx, Key, Shape, ZoneIdx)> {
@@ -621,10 +687,7 @@
             }
             let blocked = self.waiting.values().any(|o| {
                 let need = Room::of(&o.shape);
-                o.zone == zone
-                    && ctx.names.allows(&o.shape, kind, m.spot)
-                    && later.fits(need) == 0
-                    && bare.fits(need) > 0
+                o.could_use(kind, zone, m.spot) && later.fits(need) == 0 && bare.fits(need) > 0
             });
             let count = m.tasks.values().filter(replica).count();
             if !blocked || best.as_ref().is_some_and(|b| b.0 <= count) {
@@ -682,13 +745,8 @@
 
     /// Whether a gang that is to be served before this one may use such a machine and waits for
     /// its zone. Gangs that each held some machines, waiting for the rest, all stood still.
-    fn behind(&self, names: &Names, rank: Rank, kind: TypeIdx, zone: ZoneIdx, spot: bool) -> bool {
-        self.waiting.values().any(|o| {
-            o.rank < rank
-                && o.zone == zone
-                && names.allows(&o.shape, kind, spot)
-                && names.room_of_type(kind).fits(Room::of(&o.shape)) > 0
-        })
+    fn behind(&self, rank: Rank, kind: TypeIdx, zone: ZoneIdx, spot: bool) -> bool {
+        self.waiting.values().any(|o| o.rank < rank && o.could_use(kind, zone, spot))
     }
 
     /// Machines that work of this priority keeps off, since gangs of several tasks that it would
@@ -705,11 +763,8 @@
         }
         let mut by_zone: BTreeMap<ZoneIdx, Vec<(u64, MachineIdx)>> = BTreeMap::new();
         for (idx, m, kind, zone, later) in self.gpu_machines(ctx.names) {
-            let wanted = line().any(|o| {
-                o.zone == zone
-                    && ctx.names.allows(&o.shape, kind, m.spot)
-                    && later.fits(Room::of(&o.shape)) > 0
-            });
+            let wanted = line()
+                .any(|o| o.could_use(kind, zone, m.spot) && later.fits(Room::of(&o.shape)) > 0);
             if let (true, Some(used)) = (wanted, m.used()) {
                 by_zone.entry(zone).or_default().push((used.cpu, idx));
             }
@@ -723,13 +778,14 @@
         kept
     }
 
-    fn take_place(&mut self, now: Now, w: &Wanted, line: Line) -> Rank {
+    fn take_place(&mut self, now: Now, w: &Wanted, line: Line, fits: &Fits) -> Rank {
         let job = JobId(w.job);
-        let rank = (std::cmp::Reverse(w.shape.priority), line.late, now + line.due_ms, job);
+        let rank = (Reverse(w.shape.priority), line.late, now + line.due_ms, job);
         if let (true, Some(zone)) = (line.stands, line.zone.map(ZoneIdx)) {
             let until = now + STANDS_MS;
             let (count, shape) = (w.count, w.shape.clone());
-            self.waiting.insert(job, Waiting { rank, zone, count, shape, until });
+            let fits = fits.clone();
+            self.waiting.insert(job, Waiting { rank, zone, count, shape, fits, until });
         }
         rank
     }
@@ -743,20 +799,22 @@
         self.claims.retain(|c| c.until > now);
         for (i, w) in items.iter().enumerate() {
             let shape = ctx.names.shape(&w.shape);
-            let rank = w.line.map(|l| self.take_place(now, w, l));
+            let fits = fits_of(ctx.names, &w.shape, w.pressing);
+            let rank = w.line.map(|l| self.take_place(now, w, l, &fits));
             let kept = self.expected(ctx, w);
             let mut choices = Vec::new();
             for (&idx, m) in &self.machines {
-                if kept.contains(&idx) {
+                // What most machines lack first, and the dearest looks last.
+                let Some((kind, zone)) = self.usable(ctx, idx, m, w, &fits) else { continue };
+                let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job), rank) else {
                     continue;
-                }
-                let Some((kind, zone)) = self.usable(ctx, idx, m, w) else { continue };
-                if rank.is_some_and(|r| self.behind(ctx.names, r, kind, zone, m.spot)) {
+                };
+                if free.fits(shape.need) == 0 || kept.contains(&idx) {
                     continue;
                 }
-                let Some(mut free) = self.free(idx, m, ctx.names, JobId(w.job), rank) else {
+                if rank.is_some_and(|r| self.behind(r, kind, zone, m.spot)) {
                     continue;
-                };
+                }
                 let whole = ctx.names.room_of_type(kind);
                 if shape.need.gpu == 0 && whole.gpu > 0 && shape.wire.kind == Kind::Service {
                     let spare =
@@ -795,11 +853,10 @@
                 }
                 *zr -= count;
                 wanted -= count;
-                self.holds.push(Hold {
+                self.holds.entry(idx).or_default().push(Hold {
                     seat: from,
                     negotiation,
                     job: JobId(w.job),
-                    machine: idx,
                     need: shape.need,
                     count: u64::from(count),
                     lasting: shape.lasting(),
@@ -914,7 +971,7 @@
         if now >= self.asked_at + 2000 {
             self.asked_at = now;
             let open: BTreeSet<(u8, u64)> =
-                self.holds.iter().map(|h| (h.seat.0, h.negotiation.0)).collect();
+                self.holds.values().flatten().map(|h| (h.seat.0, h.negotiation.0)).collect();
             for (seat, negotiation) in open {
                 ctx.send(self.seat, Seat(seat), SeatMsg::AskDecision { negotiation });
             }
@@ -928,7 +985,7 @@
             .iter()
             .filter(|(_, m)| !m.released && m.kind.is_some())
             .map(|(&idx, m)| {
-                let held = self.holds.iter().any(|h| h.machine == idx);
+                let held = self.holds.contains_key(&idx);
                 let idle = !held && m.tasks.values().all(TaskOn::over);
                 MachineInfo {
                     machine: ctx.names.machine_name(idx).to_string(),
@@ -949,7 +1006,7 @@
     /// Sets an idle machine aside. False: it has work, or may get some.
     pub fn drain(&mut self, ctx: &mut Ctx, machine: &str) -> bool {
         let idx = ctx.names.machine(machine);
-        if self.holds.iter().any(|h| h.machine == idx) {
+        if self.holds.contains_key(&idx) {
             return false;
         }
         let m = self.machine(idx);
@@ -1007,6 +1064,7 @@
             let t = TaskOn::new(Some(s), Phase::On(TaskState::Running), 1);
             m.tasks.insert((JobId(9), task, Attempt(1)), t);
         }
+        m.recount();
         let empty = p.lasting_room(MachineIdx(0), &Machine::new(1), WHOLE);
         assert_eq!(p.spare(empty, false, false).fits(service.need), 1, "one beside it");
         let later = p.lasting_room(MachineIdx(0), &m, WHOLE);
