--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -162,6 +162,8 @@
 pub struct Out {
     pub now: Now,
     pub list: Vec<Output>,
+    /// How often a machine was looked at to judge it for a job.
+    pub looked: u64,
 }
 
 impl Out {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -291,6 +291,7 @@
     slow_at: Now,
     next_acquire: Vec<Now>,
     wake: bool,
+    looked: u64,
 }
 
 impl Node {
@@ -342,6 +343,7 @@
             next_acquire: vec![0; n],
             nodes,
             wake: false,
+            looked: 0,
         }
     }
 
@@ -358,11 +360,16 @@
             .collect()
     }
 
+    /// How often a machine was looked at to judge it for a job: the work that grows with the fleet.
+    pub fn looked(&self) -> u64 {
+        self.looked
+    }
+
     /// Takes one input; returns what to send, write and answer.
     pub fn step(&mut self, now: Now, time_ms: u64, input: Input) -> Vec<Output> {
         self.time_ms = time_ms;
         self.budget.refill(now);
-        let mut out = Out { now, list: Vec::new() };
+        let mut out = Out { now, list: Vec::new(), looked: 0 };
         match input {
             Input::Tick => self.tick(&mut out),
             Input::Submit { req, id, job } => self.submit(&mut out, req, id, job),
@@ -388,6 +395,7 @@
             }
         }
         self.settle(&mut out);
+        self.looked += out.looked;
         out.list
     }
 
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -562,6 +562,7 @@
         if wanted == 0 {
             return;
         }
+        ctx.out.looked += self.machines.len() as u64;
         let mut best: BinaryHeap<_> =
             self.machines.keys().filter_map(|&idx| look(self, ctx, idx)).collect();
         for _ in 0..wanted {
@@ -803,6 +804,7 @@
             let rank = w.line.map(|l| self.take_place(now, w, l, &fits));
             let kept = self.expected(ctx, w);
             let mut choices = Vec::new();
+            ctx.out.looked += self.machines.len() as u64;
             for (&idx, m) in &self.machines {
                 // What most machines lack first, and the dearest looks last.
                 let Some((kind, zone)) = self.usable(ctx, idx, m, w, &fits) else { continue };
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod rules;
 pub mod sim;
 pub mod state;
+pub mod tally;
 pub mod worker;
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -2,6 +2,7 @@
 //! outages. Time is simulated; the same seed gives the same run.
 use crate::rules::Rules;
 use crate::state::State;
+use crate::tally::Tally;
 use crate::worker::Worker;
 use leaddeal_core::ids::JobId;
 use leaddeal_core::io::{
@@ -37,6 +38,20 @@
     pub faults: bool,
     pub sabotage: Sabotage,
     pub team_max: f64,
+    /// So many times the usual machines and tasks; above 1 also GPU machines and gangs for them.
+    pub scale: u32,
+}
+
+impl Plan {
+    pub fn new(seed: u64) -> Plan {
+        let sabotage = Sabotage::None;
+        Plan { seed, seconds: 240, faults: true, sabotage, team_max: 6.0, scale: 1 }
+    }
+
+    /// A fleet of the size of a large deployment, without faults.
+    pub fn large(seed: u64) -> Plan {
+        Plan { faults: false, team_max: 600.0, scale: 20, ..Plan::new(seed) }
+    }
 }
 
 enum Ev {
@@ -76,6 +91,10 @@
     boots: Vec<(u64, u64)>,
     cut: Vec<bool>,
     blind: Vec<bool>,
+    /// A node without processor time until then: what comes for it waits.
+    stalled: Vec<u64>,
+    tally: Option<Tally>,
+    looks: u64,
     outage_until: u64,
     state: State,
     workers: BTreeMap<String, Worker>,
@@ -118,6 +137,27 @@
     Settings::parse(&v.to_string()).expect("the simulator's own settings")
 }
 
+fn types(scale: u32) -> Vec<MachineType> {
+    let small = MachineType {
+        name: "small".into(),
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        price: 1.0,
+        spot_price: 0.4,
+        boot_s: 5.0,
+        zones: ZONES.iter().map(ToString::to_string).collect(),
+    };
+    if scale == 1 {
+        return vec![small];
+    }
+    let (name, price) = ("gpu".into(), 6.0);
+    let gpu = MachineType { name, cpus: 12.0, gpus: 2.0, memory_gb: 48.0, price, ..small.clone() };
+    vec![small, gpu]
+}
+
 impl Sim {
     pub fn new(plan: Plan) -> Sim {
         let mut s = Sim {
@@ -131,12 +171,15 @@
             boots: vec![(0, 0); NODES],
             cut: vec![false; NODES],
             blind: vec![false; NODES],
+            stalled: vec![0; NODES],
+            tally: None,
+            looks: 0,
             outage_until: 0,
             state: State::new(plan.sabotage == Sabotage::NoFence),
             workers: BTreeMap::new(),
             rented: HashMap::new(),
             next_machine: 0,
-            spare: 6,
+            spare: 6 * plan.scale,
             reqs: HashMap::new(),
             next_req: 0,
             latest: HashMap::new(),
@@ -146,9 +189,10 @@
             links: HashMap::new(),
             plan,
         };
-        for i in 0..9 {
+        for i in 0..9 * s.plan.scale as usize {
             let name = s.machine_name();
-            s.boot_machine(&name, ZONES[i % 3], i % 4 == 3);
+            let kind = if s.plan.scale > 1 && i % 5 == 4 { "gpu" } else { "small" };
+            s.boot_machine(&name, kind, ZONES[i % 3], i % 4 == 3);
         }
         for n in 0..NODES {
             s.start(n);
@@ -165,8 +209,11 @@
         format!("n-{:06}", self.next_machine)
     }
 
-    fn boot_machine(&mut self, name: &str, zone: &str, spot: bool) {
-        let mut w = Worker::new(name, "small", zone, spot, self.now, 8000);
+    fn boot_machine(&mut self, name: &str, kind: &str, zone: &str, spot: bool) {
+        let mut w = Worker::new(name, kind, zone, spot, self.now, 8000);
+        if let Some(t) = types(self.plan.scale).iter().find(|t| t.name == kind) {
+            w.cpus = t.cpus;
+        }
         w.node = self.rng.random_range(0..NODES);
         self.workers.insert(name.into(), w);
         self.at(10, Ev::Worker(name.into()));
@@ -206,8 +253,14 @@
         let ran = self.now - self.boots[n].0;
         let now = ran + ran * n as u64 / 4000 + 1;
         let Some(node) = self.nodes[n].as_mut() else { return Ok(()) };
+        if let Some(t) = &mut self.tally {
+            t.input(&input);
+        }
         let outputs = node.step(now, self.now, input);
         for o in outputs {
+            if let Some(t) = &mut self.tally {
+                t.output(&o);
+            }
             self.output(n, o)?;
         }
         Ok(())
@@ -301,20 +354,7 @@
 
     fn cloud(&mut self, call: CloudCall) -> CloudResult {
         match call {
-            CloudCall::Catalog => CloudResult::Catalog(Catalog {
-                types: vec![MachineType {
-                    name: "small".into(),
-                    cpus: 4.0,
-                    gpus: 0.0,
-                    memory_gb: 16.0,
-                    cache_gb: 50.0,
-                    fetch_gb_per_s: 0.5,
-                    price: 1.0,
-                    spot_price: 0.4,
-                    boot_s: 5.0,
-                    zones: ZONES.iter().map(ToString::to_string).collect(),
-                }],
-            }),
+            CloudCall::Catalog => CloudResult::Catalog(Catalog { types: types(self.plan.scale) }),
             CloudCall::Rent(r) => {
                 if let Some(names) = self.rented.get(&r.request) {
                     return CloudResult::Rented(names.clone());
@@ -325,7 +365,7 @@
                 self.spare -= 1;
                 let name = self.machine_name();
                 self.rented.insert(r.request, vec![name.clone()]);
-                let up = format!("{name} {} {}", r.zone, r.spot);
+                let up = format!("{name} {} {} {}", r.zone, r.spot, r.type_name);
                 self.at(5000, Ev::Up(up));
                 CloudResult::Rented(vec![name])
             }
@@ -364,10 +404,11 @@
         let kind =
             [Kind::Array, Kind::Array, Kind::Gang, Kind::Service][self.rng.random_range(0..4)];
         let tasks = match kind {
-            Kind::Array => self.rng.random_range(1..12),
+            Kind::Array => self.rng.random_range(1..12 * self.plan.scale),
             Kind::Gang => 1,
             Kind::Service => self.rng.random_range(1..4),
         };
+        let gpu_work = kind == Kind::Gang && self.plan.scale > 1;
         let spread = kind == Kind::Service;
         Job {
             id: leaddeal_wire::user::job_id(self.next_job * 7),
@@ -377,8 +418,8 @@
             priority: [Priority::Low, Priority::Normal, Priority::High, Priority::Production]
                 [self.rng.random_range(0..4)],
             tasks,
-            cpus: f64::from(self.rng.random_range(1..3)),
-            gpus: 0.0,
+            cpus: f64::from(self.rng.random_range(1..3)) * if gpu_work { 4.0 } else { 1.0 },
+            gpus: if gpu_work { 2.0 } else { 0.0 },
             memory_gb: 1.0,
             image: format!("i-{}", self.rng.random_range(0..3)),
             image_gb: 1.0,
@@ -520,8 +561,10 @@
             }
             Ev::Up(what) => {
                 let mut p = what.split(' ');
-                if let (Some(name), Some(zone), Some(spot)) = (p.next(), p.next(), p.next()) {
-                    self.boot_machine(name, zone, spot == "true");
+                if let (Some(name), Some(zone), Some(spot), Some(kind)) =
+                    (p.next(), p.next(), p.next(), p.next())
+                {
+                    self.boot_machine(name, kind, zone, spot == "true");
                 }
             }
             Ev::Restart(n) => self.start(n),
@@ -536,7 +579,7 @@
                 self.at(1000, Ev::Poll(j.id.clone()));
                 self.submit(&j)?;
                 let wait = self.rng.random_range(500..4000);
-                self.at(wait, Ev::UserNext);
+                self.at(wait / u64::from(self.plan.scale.min(4)), Ev::UserNext);
             }
             Ev::Poll(id) => {
                 self.at(4000, Ev::Poll(id.clone()));
@@ -660,6 +703,35 @@
         }
     }
 
+    /// Counts from now on what goes into the cores and comes out.
+    pub fn count(&mut self) {
+        self.tally = Some(Tally::default());
+    }
+
+    pub fn tally(&self) -> &Tally {
+        static NONE: Tally = Tally { by_kind: BTreeMap::new() };
+        self.tally.as_ref().unwrap_or(&NONE)
+    }
+
+    /// How often the cores that live looked at a machine to judge it for a job.
+    pub fn looked(&self) -> u64 {
+        self.nodes.iter().flatten().map(Node::looked).sum()
+    }
+
+    /// What comes for a node that gets no processor time waits.
+    fn waits(&mut self, e: Ev) -> Option<Ev> {
+        let n = match e {
+            Ev::Tick(n, _) | Ev::In(n, ..) | Ev::Report(n, ..) => n,
+            _ => return Some(e),
+        };
+        if self.now >= self.stalled[n] {
+            return Some(e);
+        }
+        let wait = self.stalled[n] - self.now;
+        self.at(wait, e);
+        None
+    }
+
     /// Runs to the end of the plan; an error names the broken rule and how to see it again.
     pub fn run(&mut self) -> Result<(), String> {
         let end = self.now + self.plan.seconds * 1000;
@@ -677,7 +749,11 @@
                 self.state.expire(t);
             }
             let Some(e) = self.events.remove(&id) else { continue };
+            let Some(e) = self.waits(e) else { continue };
             let look = matches!(e, Ev::Worker(_) | Ev::Answered(..) | Ev::Direct(..));
+            // A large fleet is looked at less often, or the checks would take all the time.
+            self.looks += u64::from(look);
+            let look = look && self.looks.is_multiple_of(u64::from(self.plan.scale).pow(2));
             let handled = self.handle(e);
             let checked = if look { self.rules.check(self.now, &self.workers) } else { Ok(()) };
             handled.and(checked).map_err(|e| {
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -2,7 +2,7 @@
 use leaddeal_testkit::sim::{Plan, Sabotage, Sim};
 
 fn plan(seed: u64) -> Plan {
-    Plan { seed, seconds: 240, faults: true, sabotage: Sabotage::None, team_max: 6.0 }
+    Plan::new(seed)
 }
 
 #[test]
