--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -469,7 +469,7 @@
         let now = ctx.now;
         let mut choices: Vec<Choice> = Vec::new();
         let mut offers = talk.offers;
-        let used = self.team_usage();
+        let used = self.team_usage(ctx);
         let mut left: BTreeMap<u8, (u64, u64)> = BTreeMap::new();
         for (i, &(id, count)) in talk.items.iter().enumerate() {
             let Some(j) = self.jobs.get_mut(&id) else {
@@ -720,7 +720,10 @@
     // ---- team limits ---------------------------------------------------------------------
 
     /// What the tasks that are or may be on machines take of the teams' limits.
-    fn team_usage(&self) -> BTreeMap<u8, (u64, u64)> {
+    fn team_usage(&self, ctx: &Ctx) -> BTreeMap<u8, (u64, u64)> {
+        if ctx.cfg.teams.iter().all(|t| teams::limit(t).is_none()) {
+            return BTreeMap::new();
+        }
         let mut m: BTreeMap<u8, (u64, u64)> = BTreeMap::new();
         for t in self.jobs.values().flat_map(|j| j.placed.values()).filter_map(|p| p.team) {
             let e = m.entry(t.0).or_default();
@@ -747,7 +750,7 @@
             return;
         }
         self.team_at = ctx.now + 400;
-        for (team, u) in self.team_usage() {
+        for (team, u) in self.team_usage(ctx) {
             if let Some(e) = m.get_mut(&team) {
                 (e.cpu, e.gpu) = u;
             }
@@ -798,8 +801,13 @@
             }
             SeatMsg::AskDecision { negotiation } => self.answer_decision(ctx, from, negotiation),
             SeatMsg::Events { events } if self.ready() => {
+                let mut over = Vec::new();
                 for e in events {
-                    self.event(ctx, from, e);
+                    over.extend(self.event(ctx, from, e));
+                }
+                // The participant keeps telling until it is told to forget.
+                if !over.is_empty() {
+                    ctx.send(self.seat, from, SeatMsg::Forget { what: over });
                 }
             }
             _ => {}
@@ -814,7 +822,8 @@
         }
     }
 
-    fn event(&mut self, ctx: &mut Ctx, from: Seat, e: TaskEvent) {
+    /// Returns the attempt if the participant may forget it.
+    fn event(&mut self, ctx: &mut Ctx, from: Seat, e: TaskEvent) -> Option<AttemptRef> {
         let now = ctx.now;
         let id = JobId(e.job);
         let what = AttemptRef {
@@ -839,17 +848,12 @@
                     })
                 });
             if over {
-                if !unfolded {
-                    ctx.send(self.seat, from, SeatMsg::Forget { what });
-                }
-            } else {
-                ctx.send(self.seat, from, SeatMsg::Stop { what, grace_s: 0.0 });
+                return (!unfolded).then_some(what);
             }
-            return;
+            ctx.send(self.seat, from, SeatMsg::Stop { what, grace_s: 0.0 });
+            return None;
         }
-        let Some(j) = self.jobs.get_mut(&id) else {
-            return;
-        };
+        let j = self.jobs.get_mut(&id)?;
         if !over {
             if let Some(p) = j.placed.get_mut(&e.task) {
                 p.phase = e.phase;
@@ -864,18 +868,16 @@
                 self.next_resend = now;
                 self.resend(ctx);
             }
-            return;
+            return None;
         }
-        let Some(p) = j.placed.remove(&e.task) else {
-            return;
-        };
+        let p = j.placed.remove(&e.task)?;
         if let Phase::Exited(Why::Done, _) = e.phase {
             if j.wire.kind != Kind::Service && !j.cancelled {
                 j.errors = 0;
                 j.set_done(e.task);
                 j.unfolded.push((e.task, p.attempt, p.machine, p.round));
                 ctx.wake = true;
-                return;
+                return None;
             }
         }
         match e.phase {
@@ -900,9 +902,8 @@
         if empty_leftover {
             self.drop_cancelled(id);
         }
-        // The participant keeps telling until it is told to forget.
-        ctx.send(self.seat, from, SeatMsg::Forget { what });
         ctx.wake = true;
+        Some(what)
     }
 
     /// A cancelled job without tasks left: only its final state remains.
@@ -1027,12 +1028,18 @@
     // ---- folding -------------------------------------------------------------------------
 
     fn acknowledge(&mut self, ctx: &mut Ctx, id: JobId, acks: Vec<DoneOn>) {
+        let mut by_seat: BTreeMap<Seat, Vec<AttemptRef>> = BTreeMap::new();
         for (task, attempt, m, round) in acks {
             self.round_less(round);
             let machine = ctx.names.machine_name(m).to_string();
             let seat = ctx.seat_of_machine(&machine);
             let what = AttemptRef { job: id.0, task, attempt: attempt.0, machine, session: None };
-            ctx.send(self.seat, seat, SeatMsg::Forget { what });
+            by_seat.entry(seat).or_default().push(what);
+        }
+        for (seat, all) in by_seat {
+            for c in all.chunks(200) {
+                ctx.send(self.seat, seat, SeatMsg::Forget { what: c.to_vec() });
+            }
         }
     }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::names::{Room, Shape};
 use crate::seat::{at_least, GRACE_MS};
 use leaddeal_wire::mesh::Phase;
-use leaddeal_wire::worker::{parse_task, task_name, Op, Order, Report, TaskState, Why};
+use leaddeal_wire::worker::{Op, Order, Report, TaskId, TaskState, Why};
 use std::collections::{BTreeMap, VecDeque};
 
 pub type Key = (JobId, u32, Attempt);
@@ -170,7 +170,7 @@
             t.listed = false;
         }
         for t in &r.tasks {
-            let Some((job, task)) = parse_task(&t.task) else {
+            let Some(TaskId { job, task }) = t.task else {
                 continue;
             };
             let key = (JobId(job), task, Attempt(t.attempt));
@@ -291,7 +291,7 @@
         let session = self.session;
         let order = |op, k: &Key, grace_s| Order {
             op,
-            task: task_name(k.0 .0, k.1),
+            task: TaskId { job: k.0 .0, task: k.1 },
             attempt: k.2 .0,
             grace_s,
         };
@@ -335,17 +335,17 @@
             if v.len() >= most {
                 break;
             }
-            let name = || task_name(k.0 .0, k.1);
+            let task = TaskId { job: k.0 .0, task: k.1 };
             match (t.phase, t.stop) {
                 (Phase::Decided, None)
                     if t.session == session && !t.risky && !t.answered && !t.adopted =>
                 {
                     t.direct = Some(batch);
-                    v.push(Order { op: Op::Start, task: name(), attempt: k.2 .0, grace_s: None });
+                    v.push(Order { op: Op::Start, task, attempt: k.2 .0, grace_s: None });
                 }
                 (Phase::On(s), Some(w)) if s != TaskState::Saving || w.grace_s == 0.0 => {
                     let grace_s = Some(w.grace_s);
-                    v.push(Order { op: Op::Stop, task: name(), attempt: k.2 .0, grace_s });
+                    v.push(Order { op: Op::Stop, task, attempt: k.2 .0, grace_s });
                 }
                 _ => {}
             }
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -316,13 +316,20 @@
             }
             SeatMsg::Stop { what, grace_s } => self.stop(ctx, &what, grace_s),
             SeatMsg::Forget { what } => {
-                let idx = ctx.names.machine(&what.machine);
-                if let Some(m) = self.machines.get_mut(&idx) {
-                    let k = (JobId(what.job), what.task, Attempt(what.attempt));
-                    if let Some(t) = m.tasks.get_mut(&k) {
+                let mut swept = BTreeSet::new();
+                for w in what {
+                    let idx = ctx.names.machine(&w.machine);
+                    let k = (JobId(w.job), w.task, Attempt(w.attempt));
+                    let t = self.machines.get_mut(&idx).and_then(|m| m.tasks.get_mut(&k));
+                    if let Some(t) = t {
                         t.acked |= t.over();
+                        swept.insert(idx);
+                    }
+                }
+                for idx in swept {
+                    if let Some(m) = self.machines.get_mut(&idx) {
+                        m.sweep();
                     }
-                    m.sweep();
                 }
             }
             _ => {}
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -1,6 +1,6 @@
 //! A stand-in for a machine's worker.
 use leaddeal_wire::user::{Job, Kind};
-use leaddeal_wire::worker::{Op, Order, Report, TaskReport, TaskState, Why};
+use leaddeal_wire::worker::{Op, Order, Report, TaskId, TaskReport, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
@@ -83,7 +83,7 @@
                 .tasks
                 .iter()
                 .map(|((task, attempt), t)| TaskReport {
-                    task: task.clone(),
+                    task: TaskId::parse(task),
                     attempt: *attempt,
                     state: t.state,
                     why: t.why,
@@ -141,17 +141,16 @@
 
     pub fn execute(&mut self, now: u64, orders: &[Order], jobs: &BTreeMap<String, Job>) {
         for o in orders {
-            let key = (o.task.clone(), o.attempt);
+            let name = o.task.to_string();
+            let key = (name.clone(), o.attempt);
             match o.op {
                 Op::Start => {
                     if self.tasks.contains_key(&key) {
                         continue;
                     }
-                    let job = o.task.split('/').next().and_then(|j| jobs.get(j));
-                    let busy = self
-                        .tasks
-                        .iter()
-                        .any(|(k, t)| k.0 == o.task && t.state != TaskState::Exited);
+                    let job = name.split('/').next().and_then(|j| jobs.get(j));
+                    let busy =
+                        self.tasks.iter().any(|(k, t)| k.0 == name && t.state != TaskState::Exited);
                     let used: f64 = self
                         .tasks
                         .iter()
@@ -184,7 +183,7 @@
                         if t.state == TaskState::Exited {
                             continue;
                         }
-                        let job = o.task.split('/').next().and_then(|j| jobs.get(j));
+                        let job = name.split('/').next().and_then(|j| jobs.get(j));
                         let saves = job.filter(|j| {
                             j.checkpoint_s > 0.0
                                 && t.state == TaskState::Running
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -1,7 +1,9 @@
-//! Messages between controllers, CBOR in length-prefixed frames.
+//! Messages between controllers, CBOR in length-prefixed frames. What is sent in numbers goes as
+//! arrays, without the names of its fields: those took most of the bytes and of the time.
 use crate::user::{JobState, Kind, Priority};
 use crate::worker::{TaskState, Why};
 use serde::{Deserialize, Serialize};
+use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use std::sync::Arc;
 
 pub const MAX_FRAME: usize = 1 << 20;
@@ -16,7 +18,7 @@
 }
 
 /// What one task takes and where it may run.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct Shape {
     pub kind: Kind,
     pub priority: Priority,
@@ -33,7 +35,7 @@
     pub estimate_s: f64,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct Wanted {
     pub job: u64,
     pub shape: Arc<Shape>,
@@ -52,7 +54,7 @@
 
 /// A gang's place among those that wait: they are served in this order, so that none holds
 /// some of what it needs while another holds the rest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct Line {
     /// Aims that it has missed already, and the time left to the next.
     pub late: u8,
@@ -64,7 +66,7 @@
     pub zone: Option<u8>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct Offer {
     /// Index into the request's items.
     pub item: u16,
@@ -77,7 +79,7 @@
     pub score: i64,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct Pick {
     pub task: u32,
     pub attempt: u64,
@@ -86,6 +88,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "u8", try_from = "u8")]
 pub enum Phase {
     /// Decided, start command not seen to be executed.
     Decided,
@@ -95,7 +98,60 @@
     Gone,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+/// Their places are their numbers on the wire.
+const STATES: [TaskState; 5] = [
+    TaskState::Fetching,
+    TaskState::Waiting,
+    TaskState::Running,
+    TaskState::Saving,
+    TaskState::Exited,
+];
+const WHYS: [Why; 9] = [
+    Why::Done,
+    Why::Stopped,
+    Why::Peers,
+    Why::Alone,
+    Why::Error,
+    Why::Full,
+    Why::Busy,
+    Why::Unknown,
+    Why::Other,
+];
+const GONE: u8 = 1;
+const ON: u8 = 8;
+const EXITED: u8 = 16;
+
+impl From<Phase> for u8 {
+    fn from(p: Phase) -> u8 {
+        let place = |at: Option<usize>| at.map_or(0, |i| i as u8);
+        match p {
+            Phase::Decided => 0,
+            Phase::Gone => GONE,
+            Phase::On(s) => ON + place(STATES.iter().position(|x| *x == s)),
+            Phase::Exited(w, saved) => {
+                EXITED + 2 * place(WHYS.iter().position(|x| *x == w)) + u8::from(saved)
+            }
+        }
+    }
+}
+
+impl TryFrom<u8> for Phase {
+    type Error = String;
+
+    fn try_from(n: u8) -> Result<Phase, String> {
+        let state = n.checked_sub(ON).and_then(|i| STATES.get(i as usize));
+        let why = n.checked_sub(EXITED).and_then(|i| WHYS.get(i as usize / 2));
+        match (n, state, why) {
+            (0, ..) => Ok(Phase::Decided),
+            (GONE, ..) => Ok(Phase::Gone),
+            (_, Some(s), _) => Ok(Phase::On(*s)),
+            (_, _, Some(w)) => Ok(Phase::Exited(*w, n % 2 == 1)),
+            _ => Err(format!("no phase {n}")),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct TaskEvent {
     pub job: u64,
     pub task: u32,
@@ -105,7 +161,7 @@
 }
 
 /// A named attempt on a machine.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct AttemptRef {
     pub job: u64,
     pub task: u32,
@@ -115,7 +171,7 @@
     pub session: Option<u64>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct Lack {
     pub job: u64,
     pub shape: Arc<Shape>,
@@ -125,7 +181,7 @@
     pub pressing: bool,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize_tuple, Deserialize_tuple)]
 pub struct MachineInfo {
     pub machine: String,
     pub type_name: String,
@@ -140,7 +196,7 @@
 }
 
 /// Thousandths of cores and GPUs of a team (by its place in the settings).
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
 pub struct TeamUse {
     pub team: u8,
     pub cpu: u64,
@@ -177,7 +233,7 @@
         grace_s: f64,
     },
     Forget {
-        what: AttemptRef,
+        what: Vec<AttemptRef>,
     },
     /// Participant to coordinator.
     /// `coming`: items for which room is being made here.
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -1,5 +1,7 @@
 //! Messages between controllers and workers.
-use serde::{Deserialize, Serialize};
+use serde::de::{self, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
 
 pub const REPORT: &str = "/checkin";
 pub const COMMANDS: &str = "/orders";
@@ -31,8 +33,9 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TaskReport {
-    #[serde(rename = "haul")]
-    pub task: String,
+    /// None: no task of this system.
+    #[serde(rename = "haul", with = "task_or_none")]
+    pub task: Option<TaskId>,
     #[serde(rename = "sailing")]
     pub attempt: u64,
     #[serde(rename = "status")]
@@ -74,7 +77,7 @@
     #[serde(rename = "order")]
     pub op: Op,
     #[serde(rename = "haul")]
-    pub task: String,
+    pub task: TaskId,
     #[serde(rename = "sailing")]
     pub attempt: u64,
     #[serde(rename = "mooringS", default, skip_serializing_if = "Option::is_none")]
@@ -116,12 +119,64 @@
     pub orders: Vec<Order>,
 }
 
-/// `wk-000412/3` to (412, 3).
-pub fn parse_task(s: &str) -> Option<(u64, u32)> {
-    let (job, task) = s.split_once('/')?;
-    Some((crate::user::parse_job_id(job)?, task.parse().ok()?))
+/// A task's name, `wk-000412/3`, read and written as text without a copy of it: reports name
+/// every task of a machine over and over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TaskId {
+    pub job: u64,
+    pub task: u32,
+}
+
+impl TaskId {
+    pub fn parse(s: &str) -> Option<TaskId> {
+        let (job, task) = s.split_once('/')?;
+        Some(TaskId { job: crate::user::parse_job_id(job)?, task: task.parse().ok()? })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "wk-{:06}/{}", self.job, self.task)
+    }
+}
+
+impl Serialize for TaskId {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+struct TaskText;
+
+impl Visitor<'_> for TaskText {
+    type Value = Option<TaskId>;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a task's name")
+    }
+
+    fn visit_str<E: de::Error>(self, s: &str) -> Result<Option<TaskId>, E> {
+        Ok(TaskId::parse(s))
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<TaskId, D::Error> {
+        d.deserialize_str(TaskText)?.ok_or_else(|| de::Error::custom("not a task's name"))
+    }
 }
 
-pub fn task_name(job: u64, task: u32) -> String {
-    format!("{}/{}", crate::user::job_id(job), task)
+mod task_or_none {
+    use super::{Deserializer, Serialize, Serializer, TaskId, TaskText};
+
+    pub fn serialize<S: Serializer>(t: &Option<TaskId>, s: S) -> Result<S::Ok, S::Error> {
+        match t {
+            Some(t) => t.serialize(s),
+            None => s.serialize_str(""),
+        }
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Option<TaskId>, D::Error> {
+        d.deserialize_str(TaskText)
+    }
 }
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -1,7 +1,7 @@
 //! The odd names on the wire, as the protocol gives them.
-use leaddeal_wire::mesh::{NodeMsg, SeatMsg};
+use leaddeal_wire::mesh::{NodeMsg, Phase, SeatMsg, TaskEvent};
 use leaddeal_wire::user::{job_id, parse_job_id, Job, Kind, Priority};
-use leaddeal_wire::worker::{parse_task, Op, Order, Report, TaskState, Why};
+use leaddeal_wire::worker::{Op, Order, Report, TaskId, TaskState, Why};
 use leaddeal_wire::{cloud, settings::Settings, state};
 use serde_json::json;
 
@@ -21,14 +21,17 @@
         "endpoint":"10.1.0.232:9000","hull":"g8","harbor":"a","charter":true,"watch":1,
         "logline":88,"helm":41,"recallS":null,
         "hauls":[{"haul":"wk-000412/3","sailing":2,"status":"running"},
-                 {"haul":"wk-000398/0","sailing":1,"status":"exited","cause":"new one"}]}))
+                 {"haul":"wk-000398/0","sailing":1,"status":"exited","cause":"new one"},
+                 {"haul":"other","sailing":1,"status":"running"}]}))
     .expect("a report");
     assert_eq!((r.session, r.seq, r.token), (1, 88, 41));
     assert_eq!(r.tasks[0].state, TaskState::Running);
     assert_eq!(r.tasks[1].why, Some(Why::Other));
-    assert_eq!(parse_task(&r.tasks[0].task), Some((412, 3)));
+    let task = |job, task| TaskId { job, task };
+    assert_eq!(r.tasks[0].task, Some(task(412, 3)));
+    assert_eq!(r.tasks[2].task, None, "one odd name does not spoil the report");
 
-    let stop = Order { op: Op::Stop, task: "wk-000377/1".into(), attempt: 1, grace_s: Some(10.0) };
+    let stop = Order { op: Op::Stop, task: task(377, 1), attempt: 1, grace_s: Some(10.0) };
     let start = Order { op: Op::Start, grace_s: None, ..stop.clone() };
     assert_eq!(
         json!([stop, start]),
@@ -68,16 +71,33 @@
 
 #[test]
 fn mesh_messages_are_what_they_were_after_cbor() {
-    let m = NodeMsg::Seat {
-        from: 1,
-        from_epoch: 7,
-        to: 2,
-        to_epoch: 9,
-        msg: SeatMsg::Close { negotiation: 1 << 40 },
+    let through = |msg| {
+        let m = NodeMsg::Seat { from: 1, from_epoch: 7, to: 2, to_epoch: 9, msg };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&m, &mut bytes).expect("written");
+        assert_eq!(ciborium::from_reader::<NodeMsg, _>(&bytes[..]).expect("read"), m);
+        bytes.len()
     };
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&m, &mut bytes).expect("written");
-    assert_eq!(ciborium::from_reader::<NodeMsg, _>(&bytes[..]).expect("read"), m);
+    through(SeatMsg::Close { negotiation: 1 << 40 });
+    let states = [TaskState::Fetching, TaskState::Waiting, TaskState::Running, TaskState::Saving];
+    let whys = [Why::Done, Why::Stopped, Why::Peers, Why::Alone, Why::Error, Why::Full, Why::Busy];
+    let ends = whys.iter().flat_map(|w| [Phase::Exited(*w, false), Phase::Exited(*w, true)]);
+    let others = [Phase::Decided, Phase::Gone, Phase::Exited(Why::Unknown, false)];
+    let phases = states.into_iter().map(Phase::On).chain(ends).chain(others);
+    let events: Vec<TaskEvent> = phases
+        .map(|phase| TaskEvent {
+            job: 412,
+            task: 3,
+            attempt: 7 << 20,
+            machine: "n-000231".into(),
+            phase,
+        })
+        .collect();
+    let n = events.len();
+    let size = through(SeatMsg::Events { events });
+    assert!(size < 40 * n + 60, "{size} bytes for {n} events: most of the traffic is these");
+    let bad = ciborium::Value::Integer(255.into());
+    assert!(bad.deserialized::<Phase>().is_err());
 }
 
 #[test]
