--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -532,13 +532,11 @@
             }
             let whole = j.wire.kind != Kind::Gang || picks.len() as u32 == j.pending();
             if picks.is_empty() || !whole {
-                j.refusals += 1;
+                let tried = j.refused(now);
                 j.aim_at(&per, &open);
-                let urgent = j.wire.priority > user::Priority::Low && j.refusals < 12;
                 // Whoever is making room is asked on; else it is the next one's turn.
-                let step = u32::from(!talk.coming.contains(&(i as u16)));
+                let step = u32::from(tried && !talk.coming.contains(&(i as u16)));
                 j.make_room = Some(j.make_room.map_or(0, |t| t + step));
-                j.not_before = now + if urgent { 150 } else { 900 };
                 continue;
             }
             if let Some((team, cpu, gpu)) = ctx.team_use(j) {
@@ -548,7 +546,7 @@
                     l.1 = l.1.saturating_sub(gpu * n);
                 }
             }
-            j.refusals = 0;
+            j.served();
             let short = (picks.len() as u32) < want;
             let step = u32::from(!talk.coming.contains(&(i as u16)));
             j.make_room = short.then(|| j.make_room.map_or(0, |t| t + step));
@@ -800,6 +798,12 @@
                 }
             }
             SeatMsg::AskDecision { negotiation } => self.answer_decision(ctx, from, negotiation),
+            SeatMsg::Room => {
+                for j in self.jobs.values_mut() {
+                    j.room_somewhere(ctx.now);
+                }
+                ctx.wake = true;
+            }
             SeatMsg::Events { events } if self.ready() => {
                 let mut over = Vec::new();
                 for e in events {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -28,9 +28,8 @@
     pub team: Option<(u8, u64, u64)>,
 }
 
-/// A service asked for in vain this often in a row, which takes about 9 s, may stand in the way
-/// of GPU work.
-const LONG_REFUSED: u32 = 20;
+/// A service asked for in vain for so long may stand in the way of GPU work.
+const LONG_REFUSED_MS: u64 = 9000;
 
 /// A task's completion: task, attempt, machine, round.
 pub type DoneOn = (u32, Attempt, MachineIdx, u64);
@@ -48,6 +47,10 @@
     /// Not asked for before this time.
     pub not_before: Now,
     pub refusals: u32,
+    /// Since when it has been asked for in vain.
+    refused_since: Option<Now>,
+    /// When it is asked for again though no part has told of free room.
+    next_try: Now,
     /// Whose turn it is to make room by preemption; none: nobody was short of it.
     pub make_room: Option<u32>,
     /// A gang that waits does so for this zone.
@@ -125,6 +128,8 @@
             placed: BTreeMap::new(),
             not_before: 0,
             refusals: 0,
+            refused_since: None,
+            next_try: 0,
             make_room: None,
             target: None,
             errors: 0,
@@ -203,7 +208,41 @@
     /// work that waits, and it is moved out of the way later.
     pub fn anywhere(&self, aims: &Aims, now: Now) -> bool {
         let late = self.urgency(aims, now).0 > 0;
-        self.wire.kind == Kind::Service && late && self.refusals >= LONG_REFUSED
+        let long = self.refused_since.is_some_and(|t| now >= t + LONG_REFUSED_MS);
+        self.wire.kind == Kind::Service && late && long
+    }
+
+    /// Asked for in vain. Parts tell when room becomes free, so the next try by itself may wait;
+    /// soon at first, since room is made by one part after the other. Tries fall on common
+    /// moments, so that one round serves many jobs. True if this was a try by itself.
+    pub fn refused(&mut self, now: Now) -> bool {
+        self.refused_since.get_or_insert(now);
+        let tried = now >= self.next_try;
+        if tried {
+            self.refusals += 1;
+            let step = match self.refusals {
+                _ if self.wire.priority == user::Priority::Low => 900,
+                0..4 => 150,
+                4..10 => 300,
+                _ => 900,
+            };
+            self.next_try = (now / step + 1) * step;
+        }
+        self.not_before = self.next_try;
+        tried
+    }
+
+    pub fn served(&mut self) {
+        self.refusals = 0;
+        self.refused_since = None;
+        self.next_try = 0;
+    }
+
+    /// A part has got free room.
+    pub fn room_somewhere(&mut self, now: Now) {
+        if self.refused_since.is_some() && self.not_before == self.next_try {
+            self.not_before = self.not_before.min(now);
+        }
     }
 
     /// A gang's place among those that wait.
@@ -359,6 +398,28 @@
         assert!(!j.line(&none, 0).expect("a gang's").stands);
     }
 
+    /// Found by counting: with a fleet that was booting, asking in vain took most of the time.
+    #[test]
+    fn a_job_without_room_waits_to_be_told_and_asks_by_itself_less_and_less() {
+        let mut names = Names::default();
+        let mut j = Job::leftover(JobId(7), &mut names);
+        j.wire.priority = Priority::High;
+        let (mut now, mut tries) = (10_000, 0);
+        while now < 20_000 {
+            assert!(j.refused(now), "it was its own time to try");
+            (now, tries) = (j.not_before, tries + 1);
+        }
+        assert!((12..25).contains(&tries), "{tries} tries in 10 s");
+        assert!(j.refused(now));
+        j.room_somewhere(now + 10);
+        assert_eq!(j.not_before, now + 10, "told of room, it asks at once");
+        assert!(!j.refused(now + 20), "which is no try by itself");
+        assert!(j.not_before > now + 20);
+        j.not_before = now + 5000;
+        j.room_somewhere(now + 30);
+        assert_eq!(j.not_before, now + 5000, "after failures it waits all the same");
+    }
+
     /// A job older than the process must keep its age, or its order and urgency are lost.
     #[test]
     fn urgency_counts_from_the_submission() {
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -23,6 +23,8 @@
 const STANDS_MS: u64 = 5000;
 /// Between two replicas moved out of the way of GPU work.
 const MOVE_MS: u64 = 1500;
+/// A seat is told of free room no more often than this.
+const TELL_MS: u64 = 300;
 /// A replica that has run for less is not moved.
 const SETTLED_MS: u64 = 40_000;
 /// Tasks longer than this keep off ordinary GPU machines while there is GPU work.
@@ -144,6 +146,16 @@
     gpu_work: HashMap<(u64, u64, u64), (Now, Priority)>,
     waiting: BTreeMap<JobId, Waiting>,
     move_at: Now,
+    short: Vec<Short>,
+    /// Room became free that the short seats were not told of.
+    freed: bool,
+}
+
+/// Whether a seat was offered less than it asked for, and when it was last told of free room.
+#[derive(Clone, Copy, Debug, Default)]
+struct Short {
+    wants: bool,
+    told_at: Now,
 }
 
 impl Part {
@@ -163,6 +175,8 @@
             gpu_work: HashMap::new(),
             waiting: BTreeMap::new(),
             move_at: now,
+            short: vec![Short::default(); seats],
+            freed: false,
         }
     }
 
@@ -205,11 +219,13 @@
         m.kind = kind;
         m.zone = zone;
         let before: Vec<Key> = m.tasks.iter().filter(|(_, t)| t.over()).map(|(k, _)| *k).collect();
+        let known = m.confirmed;
         if !m.apply(r, epoch, checkin, now) {
             return;
         }
         let cache = kind.map_or(0.0, |k| ctx.names.catalog[k.0 as usize].cache_gb);
         let mut images = Vec::new();
+        let mut freed = !known && m.confirmed;
         for (k, t) in &m.tasks {
             if let (Some(s), Phase::On(TaskState::Running | TaskState::Waiting)) =
                 (&t.shape, t.phase)
@@ -219,6 +235,7 @@
             if before.binary_search(k).is_ok() {
                 continue;
             }
+            freed |= t.over();
             match t.phase {
                 Phase::Exited(Why::Error | Why::Other, _) => {
                     if !m.failed.iter().any(|f| f.0 == k.0) {
@@ -257,6 +274,7 @@
                 }
             }
         }
+        self.freed |= freed;
         self.dirty.insert(idx);
     }
 
@@ -883,6 +901,11 @@
                     break;
                 }
             }
+            if wanted > 0 {
+                if let Some(s) = self.short.get_mut(from.0 as usize) {
+                    s.wants = true;
+                }
+            }
             if w.make_room && wanted > 0 {
                 // A gang makes room only in the zone that it waits for.
                 if let Some(z) = w.line.and_then(|l| l.zone) {
@@ -951,6 +974,23 @@
                 ctx.send(self.seat, Seat(seat), SeatMsg::Events { events: c.to_vec() });
             }
         }
+        self.tell_room(ctx);
+    }
+
+    /// Who asked in vain need not ask over and over: it is told when there is something to ask
+    /// for. (Found by counting: with a fleet that was booting, asking took most of the time.)
+    fn tell_room(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        if !self.freed {
+            return;
+        }
+        for (i, s) in self.short.iter_mut().enumerate() {
+            if s.wants && now >= s.told_at + TELL_MS {
+                *s = Short { wants: false, told_at: now };
+                ctx.send(self.seat, Seat(i as u8), SeatMsg::Room);
+            }
+        }
+        self.freed = self.short.iter().any(|s| s.wants);
     }
 
     pub fn tick(&mut self, ctx: &mut Ctx) {
--- a/crates/leaddeal/src/link.rs
+++ b/crates/leaddeal/src/link.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -18,6 +18,7 @@
 const SILENCE: Duration = Duration::from_secs(20);
 /// The reading end writes a byte back this often, if there was anything to read.
 const SIGN_EVERY: Duration = Duration::from_millis(500);
+const READ_BUFFER: usize = 8 * 1024;
 /// For a sender without such a sign.
 pub const PATIENCE: Duration = Duration::from_secs(4);
 
@@ -32,7 +33,7 @@
     into[at..at + 4].copy_from_slice(&n.to_be_bytes());
 }
 
-async fn read_frame(s: &mut TcpStream, buf: &mut Vec<u8>) -> Option<()> {
+async fn read_frame<S: AsyncRead + Unpin>(s: &mut S, buf: &mut Vec<u8>) -> Option<()> {
     let mut head = [0; 4];
     timeout(SILENCE, s.read_exact(&mut head)).await.ok()?.ok()?;
     let n = u32::from_be_bytes(head) as usize;
@@ -83,6 +84,9 @@
                 buf.clear();
                 let Some(m) = rx.recv().await else { return };
                 frame(&m, &mut buf);
+                // Whatever else this turn of the loop has for the sibling goes with it: a packet
+                // and a system call for each message took more time than the messages.
+                tokio::task::yield_now().await;
                 while buf.len() < 64 * 1024 {
                     match rx.try_recv() {
                         Ok(m) => frame(&m, &mut buf),
@@ -118,7 +122,9 @@
     }
 }
 
-async fn hear(mut s: TcpStream, events: mpsc::Sender<Event>, newest: Newest, nodes: Vec<String>) {
+async fn hear(s: TcpStream, events: mpsc::Sender<Event>, newest: Newest, nodes: Vec<String>) {
+    // Several frames come at once, and each is read in two parts.
+    let mut s = BufReader::with_capacity(READ_BUFFER, s);
     let mut buf = Vec::new();
     let Some(()) = read_frame(&mut s, &mut buf).await else {
         return;
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -245,6 +245,8 @@
     AskDecision {
         negotiation: u64,
     },
+    /// Room became free since this part offered less than was asked for: ask again.
+    Room,
     Events {
         events: Vec<TaskEvent>,
     },
