--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -465,7 +465,10 @@
     }
 
     fn decide(&mut self, ctx: &mut Ctx) {
-        let Some(talk) = self.talk.take() else { return };
+        let Some(mut talk) = self.talk.take() else { return };
+        // Who answered and offered nothing holds nothing, and needs no word of the end.
+        let offered: BTreeSet<Seat> = talk.offers.iter().map(|o| o.0).collect();
+        talk.asked.retain(|s| talk.waiting.contains(s) || offered.contains(s));
         let now = ctx.now;
         let mut choices: Vec<Choice> = Vec::new();
         let mut offers = talk.offers;
--- a/crates/leaddeal/src/client.rs
+++ b/crates/leaddeal/src/client.rs
@@ -5,8 +5,7 @@
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
-use std::cell::RefCell;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -28,12 +27,16 @@
 pub struct Client {
     addr: String,
     connect: Duration,
-    idle: Rc<RefCell<Vec<SendRequest<Full<Bytes>>>>>,
+    idle: Arc<Mutex<Vec<SendRequest<Full<Bytes>>>>>,
 }
 
 impl Client {
     pub fn new(addr: &str, connect: Duration) -> Client {
-        Client { addr: addr.to_string(), connect, idle: Rc::default() }
+        Client { addr: addr.to_string(), connect, idle: Arc::default() }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<SendRequest<Full<Bytes>>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     async fn open(&self) -> Result<SendRequest<Full<Bytes>>, NoAnswer> {
@@ -43,7 +46,7 @@
             .map_err(|_| NoAnswer::NotSent)?;
         let _ = s.set_nodelay(true);
         let (tx, conn) = http1::handshake(TokioIo::new(s)).await.map_err(|_| NoAnswer::NotSent)?;
-        tokio::task::spawn_local(async move {
+        tokio::spawn(async move {
             let _ = conn.await;
         });
         Ok(tx)
@@ -61,7 +64,7 @@
             None => Bytes::new(),
         };
         let idle = loop {
-            let c = self.idle.borrow_mut().pop();
+            let c = self.idle().pop();
             match c {
                 Some(c) if c.is_closed() || !c.is_ready() => {}
                 other => break other,
@@ -88,7 +91,7 @@
             Ok((status, body.to_bytes()))
         };
         let answer = timeout(limit, work).await.map_err(|_| NoAnswer::Unknown)??;
-        let mut idle = self.idle.borrow_mut();
+        let mut idle = self.idle();
         if idle.len() < MOST_IDLE && tx.is_ready() {
             idle.push(tx);
         }
--- a/crates/leaddeal/src/door.rs
+++ b/crates/leaddeal/src/door.rs
@@ -13,7 +13,6 @@
 use leaddeal_core::Input;
 use leaddeal_wire::user::{self, Job};
 use leaddeal_wire::worker::{self, Redirect, Report};
-use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -151,19 +150,19 @@
 /// Serves until the process ends. Connections beyond `most` are closed at once.
 pub async fn listen(l: TcpListener, d: Door, most: usize) {
     let app = router(d);
-    let open = Rc::new(());
+    let open = Arc::new(());
     loop {
         let Ok((s, _)) = l.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
             continue;
         };
-        if Rc::strong_count(&open) > most {
+        if Arc::strong_count(&open) > most {
             continue;
         }
         let _ = s.set_nodelay(true);
         let held = open.clone();
         let service = TowerToHyperService::new(app.clone());
-        tokio::task::spawn_local(async move {
+        tokio::spawn(async move {
             let _ = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE)
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -18,7 +18,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{spawn_local, LocalSet};
 
 /// The core's clock starts here and not at 0, so that a job submitted before this process
 /// started has a time of its own on it: else all were new again after a restart, and their order
@@ -52,8 +51,10 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
+/// All work is in tasks of the runtime, this loop too: a future outside of them, woken by tasks,
+/// costs a look at the sockets between each two of its turns.
 pub async fn run(s: Settings) -> std::io::Result<()> {
-    LocalSet::new().run_until(serve(s)).await
+    tokio::spawn(serve(s)).await?
 }
 
 async fn serve(s: Settings) -> std::io::Result<()> {
@@ -72,8 +73,8 @@
         0 => 1000,
         n => n.saturating_sub(100).max(n / 2),
     };
-    spawn_local(door::listen(user_listener, door, most));
-    spawn_local(link::listen(peer_listener, tx.clone(), s.nodes()));
+    tokio::spawn(door::listen(user_listener, door, most));
+    tokio::spawn(link::listen(peer_listener, tx.clone(), s.nodes()));
     let connect = Duration::from_millis(800);
     let mut world = World {
         events: tx.clone(),
@@ -141,21 +142,21 @@
             }
             Output::Store { op, call } => {
                 let (c, events) = (self.store.clone(), self.events.clone());
-                spawn_local(async move {
+                tokio::spawn(async move {
                     let result = store(&c, call).await;
                     let _ = events.send(Event::Input(Input::Store { op, result })).await;
                 });
             }
             Output::Cloud { op, call } => {
                 let (c, events) = (self.cloud.clone(), self.events.clone());
-                spawn_local(async move {
+                tokio::spawn(async move {
                     let result = ask_cloud(&c, call).await;
                     let _ = events.send(Event::Input(Input::Cloud { op, result })).await;
                 });
             }
             Output::Orders { machine, addr, batch, direct } => {
                 let events = self.events.clone();
-                spawn_local(async move {
+                tokio::spawn(async move {
                     let outcome = command(&addr, &direct).await;
                     let input = Input::Orders { machine, batch, outcome };
                     let _ = events.send(Event::Input(input)).await;
--- a/crates/leaddeal/src/link.rs
+++ b/crates/leaddeal/src/link.rs
@@ -3,9 +3,8 @@
 use crate::driver::Event;
 use leaddeal_core::Input;
 use leaddeal_wire::mesh::{Hello, NodeMsg, MAX_FRAME};
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,7 +16,7 @@
 const WRITE_LIMIT: Duration = Duration::from_secs(3);
 const SILENCE: Duration = Duration::from_secs(20);
 /// The reading end writes a byte back this often, if there was anything to read.
-const SIGN_EVERY: Duration = Duration::from_millis(500);
+const SIGN_EVERY: Duration = Duration::from_millis(1200);
 const READ_BUFFER: usize = 8 * 1024;
 /// For a sender without such a sign.
 pub const PATIENCE: Duration = Duration::from_secs(4);
@@ -33,6 +32,10 @@
     into[at..at + 4].copy_from_slice(&n.to_be_bytes());
 }
 
+fn quiet(since: &Mutex<Instant>) -> Duration {
+    since.lock().unwrap_or_else(PoisonError::into_inner).elapsed()
+}
+
 async fn read_frame<S: AsyncRead + Unpin>(s: &mut S, buf: &mut Vec<u8>) -> Option<()> {
     let mut head = [0; 4];
     timeout(SILENCE, s.read_exact(&mut head)).await.ok()?.ok()?;
@@ -49,7 +52,7 @@
 /// `patience` that it reads. Siblings send each other something every second.
 pub fn dial(node: String, addr: String, boot: u64, patience: Duration) -> mpsc::Sender<NodeMsg> {
     let (tx, mut rx) = mpsc::channel::<NodeMsg>(QUEUE);
-    tokio::task::spawn_local(async move {
+    tokio::spawn(async move {
         let mut generation = 0;
         loop {
             let conn = timeout(Duration::from_millis(1000), TcpStream::connect(&addr)).await;
@@ -65,28 +68,25 @@
             // A connection whose other end is gone may swallow everything without an error: a
             // crash behind a cut leaves nobody to reset it. (Found on a hunt: a sibling that came
             // back heard nothing for the rest of the day, so that cancelled tasks ran on.)
-            let read_at = Rc::new(Cell::new(Instant::now()));
+            let read_at = Arc::new(Mutex::new(Instant::now()));
             let seen = read_at.clone();
-            let watch = tokio::task::spawn_local(async move {
+            let watch = tokio::spawn(async move {
                 let mut sign = [0; 64];
                 while matches!(back.read(&mut sign).await, Ok(n) if n > 0) {
-                    seen.set(Instant::now());
+                    *seen.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
                 }
             });
             let mut buf = Vec::new();
             frame(&Hello { node: node.clone(), boot, generation }, &mut buf);
             loop {
                 let wrote = timeout(WRITE_LIMIT, s.write_all(&buf)).await;
-                if !matches!(wrote, Ok(Ok(()))) || read_at.get().elapsed() > patience {
+                if !matches!(wrote, Ok(Ok(()))) || quiet(&read_at) > patience {
                     tracing::info!(event = "link_broken", "{addr}");
                     break;
                 }
                 buf.clear();
                 let Some(m) = rx.recv().await else { return };
                 frame(&m, &mut buf);
-                // Whatever else this turn of the loop has for the sibling goes with it: a packet
-                // and a system call for each message took more time than the messages.
-                tokio::task::yield_now().await;
                 while buf.len() < 64 * 1024 {
                     match rx.try_recv() {
                         Ok(m) => frame(&m, &mut buf),
@@ -100,22 +100,22 @@
     tx
 }
 
-type Newest = Rc<RefCell<HashMap<String, (u64, u64)>>>;
+type Newest = Arc<Mutex<HashMap<String, (u64, u64)>>>;
 
 pub async fn listen(l: TcpListener, events: mpsc::Sender<Event>, nodes: Vec<String>) {
-    let newest: Newest = Rc::default();
-    let open = Rc::new(());
+    let newest: Newest = Arc::default();
+    let open = Arc::new(());
     loop {
         let Ok((s, _)) = l.accept().await else {
             sleep(Duration::from_millis(50)).await;
             continue;
         };
-        if Rc::strong_count(&open) > 40 {
+        if Arc::strong_count(&open) > 40 {
             continue;
         }
         let (events, newest, nodes, held) =
             (events.clone(), newest.clone(), nodes.clone(), open.clone());
-        tokio::task::spawn_local(async move {
+        tokio::spawn(async move {
             hear(s, events, newest, nodes).await;
             drop(held);
         });
@@ -137,7 +137,7 @@
     }
     let me = (hello.boot, hello.generation);
     {
-        let mut n = newest.borrow_mut();
+        let mut n = newest.lock().unwrap_or_else(PoisonError::into_inner);
         let e = n.entry(hello.node.clone()).or_insert(me);
         if *e > me {
             return;
@@ -153,7 +153,9 @@
             }
         }
         // Held-back data of an older connection must not come after that of a newer one.
-        if newest.borrow().get(&hello.node) != Some(&me) {
+        let newer =
+            newest.lock().unwrap_or_else(PoisonError::into_inner).get(&hello.node) != Some(&me);
+        if newer {
             return;
         }
         let Ok(msg) = ciborium::from_reader::<NodeMsg, _>(&buf[..]) else {
@@ -177,7 +179,7 @@
         let addr = l.local_addr().expect("its address").to_string();
         let work = async {
             let tx = dial("n-0".into(), addr, 1, Duration::from_millis(20));
-            let feed = tokio::task::spawn_local(async move {
+            let feed = tokio::spawn(async move {
                 while tx.send(NodeMsg::Beat { owned: Vec::new() }).await.is_ok() {
                     tokio::task::yield_now().await;
                 }
@@ -189,7 +191,7 @@
                 let mut buf = Vec::new();
                 read_frame(&mut s, &mut buf).await.expect("a frame");
                 hellos.push(ciborium::from_reader::<Hello, _>(&buf[..]).expect("a hello"));
-                kept.push(tokio::task::spawn_local(async move {
+                kept.push(tokio::spawn(async move {
                     while read_frame(&mut s, &mut buf).await.is_some() {}
                 }));
             }
@@ -197,8 +199,7 @@
             kept.iter().for_each(tokio::task::JoinHandle::abort);
             hellos
         };
-        let local = tokio::task::LocalSet::new();
-        let hellos = timeout(Duration::from_secs(20), local.run_until(work)).await;
+        let hellos = timeout(Duration::from_secs(20), work).await;
         let hellos = hellos.expect("a second connection");
         assert!(hellos[1].generation > hellos[0].generation, "the newer one is listened to");
     }
