--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -221,10 +221,10 @@
         if tried {
             self.refusals += 1;
             let step = match self.refusals {
-                _ if self.wire.priority == user::Priority::Low => 900,
+                _ if self.wire.priority == user::Priority::Low => 1800,
                 0..4 => 150,
                 4..10 => 300,
-                _ => 900,
+                _ => 1200,
             };
             self.next_try = (now / step + 1) * step;
         }
@@ -409,7 +409,7 @@
             assert!(j.refused(now), "it was its own time to try");
             (now, tries) = (j.not_before, tries + 1);
         }
-        assert!((12..25).contains(&tries), "{tries} tries in 10 s");
+        assert!((12..20).contains(&tries), "{tries} tries in 10 s");
         assert!(j.refused(now));
         j.room_somewhere(now + 10);
         assert_eq!(j.not_before, now + 10, "told of room, it asks at once");
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -24,7 +24,9 @@
 /// Between two replicas moved out of the way of GPU work.
 const MOVE_MS: u64 = 1500;
 /// A seat is told of free room no more often than this.
-const TELL_MS: u64 = 300;
+const TELL_MS: u64 = 800;
+/// What nobody waits for is told together, this often.
+const LAZY_MS: u64 = 300;
 /// A replica that has run for less is not moved.
 const SETTLED_MS: u64 = 40_000;
 /// Tasks longer than this keep off ordinary GPU machines while there is GPU work.
@@ -149,6 +151,20 @@
     short: Vec<Short>,
     /// Room became free that the short seats were not told of.
     freed: bool,
+    /// Machines with something to tell that can wait.
+    lazy: BTreeSet<MachineIdx>,
+    lazy_at: Now,
+}
+
+/// Whether a coordinator has to act on it soon. The other phases it shows to users, and writes
+/// together what is done; a worker goes through several of them within a second.
+fn pressing(p: Phase) -> bool {
+    match p {
+        Phase::Exited(Why::Done, _) => false,
+        Phase::Exited(..) | Phase::Gone | Phase::On(TaskState::Saving | TaskState::Exited) => true,
+        Phase::Decided
+        | Phase::On(TaskState::Fetching | TaskState::Waiting | TaskState::Running) => false,
+    }
 }
 
 /// Whether a seat was offered less than it asked for, and when it was last told of free room.
@@ -177,6 +193,8 @@
             move_at: now,
             short: vec![Short::default(); seats],
             freed: false,
+            lazy: BTreeSet::new(),
+            lazy_at: now,
         }
     }
 
@@ -927,6 +945,11 @@
     pub fn flush(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
         let mut events: BTreeMap<u8, Vec<TaskEvent>> = BTreeMap::new();
+        let all = now >= self.lazy_at;
+        if all && !self.lazy.is_empty() {
+            self.lazy_at = now + LAZY_MS;
+            self.dirty.append(&mut self.lazy);
+        }
         let dirty = std::mem::take(&mut self.dirty);
         for idx in dirty {
             let Some(m) = self.machines.get_mut(&idx) else {
@@ -944,6 +967,10 @@
                 if t.told == Some((epoch, t.phase)) && !again {
                     continue;
                 }
+                if !all && !pressing(t.phase) {
+                    self.lazy.insert(idx);
+                    continue;
+                }
                 t.told = Some((epoch, t.phase));
                 t.told_at = now;
                 events.entry(seat.0).or_default().push(TaskEvent {
--- a/crates/leaddeal/src/client.rs
+++ b/crates/leaddeal/src/client.rs
@@ -82,7 +82,12 @@
             .body(Full::new(bytes))
             .map_err(|_| NoAnswer::NotSent)?;
         let work = async {
-            let r = tx.send_request(req).await.map_err(|_| NoAnswer::Unknown)?;
+            // A kept connection that was closed meanwhile has not taken the request.
+            let lost = |e: hyper::Error| match e.is_canceled() {
+                true => NoAnswer::NotSent,
+                false => NoAnswer::Unknown,
+            };
+            let r = tx.send_request(req).await.map_err(lost)?;
             let status = r.status().as_u16();
             let body = Limited::new(r.into_body(), MOST_BODY)
                 .collect()
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -28,6 +28,9 @@
 const STORE_LIMIT: Duration = Duration::from_millis(2000);
 const CLOUD_LIMIT: Duration = Duration::from_secs(8);
 const DIRECT_LIMIT: Duration = Duration::from_millis(2500);
+/// A connection to a worker is used again within this time. Making one takes as much as several
+/// commands; but an older one may have died unnoticed, and then the outcome is unknown.
+const WORKER_IDLE: Duration = Duration::from_secs(10);
 
 pub enum Reply {
     User(UserReply),
@@ -43,6 +46,9 @@
     events: mpsc::Sender<Event>,
     store: Client,
     cloud: Client,
+    /// Connections to workers that were commanded lately.
+    workers: HashMap<String, (Client, Instant)>,
+    most_workers: usize,
     links: HashMap<String, mpsc::Sender<NodeMsg>>,
     replies: HashMap<ReqId, oneshot::Sender<Reply>>,
 }
@@ -80,6 +86,8 @@
         events: tx.clone(),
         store: Client::new(&s.services.state, connect),
         cloud: Client::new(&s.services.cloud, connect),
+        workers: HashMap::new(),
+        most_workers: most / 4,
         links: s
             .peers
             .iter()
@@ -101,6 +109,7 @@
                 healthy.store(core.healthy(now()), Ordering::Relaxed);
                 // Whoever gave up waiting is not answered any more.
                 world.replies.retain(|_, r| !r.is_closed());
+                world.workers.retain(|_, w| w.1.elapsed() < WORKER_IDLE);
                 Input::Tick
             }
             e = rx.recv() => match e {
@@ -123,6 +132,20 @@
 }
 
 impl World {
+    /// The client for a worker, with the connection of its last command if that was lately.
+    fn worker(&mut self, addr: &str) -> Client {
+        let now = Instant::now();
+        if let Some((c, at)) = self.workers.get_mut(addr) {
+            *at = now;
+            return c.clone();
+        }
+        let c = Client::new(addr, Duration::from_millis(800));
+        if self.workers.len() < self.most_workers {
+            self.workers.insert(addr.to_string(), (c.clone(), now));
+        }
+        c
+    }
+
     fn act(&mut self, o: Output) {
         match o {
             Output::User { req, reply } => {
@@ -156,8 +179,9 @@
             }
             Output::Orders { machine, addr, batch, direct } => {
                 let events = self.events.clone();
+                let c = self.worker(&addr);
                 tokio::spawn(async move {
-                    let outcome = command(&addr, &direct).await;
+                    let outcome = command(&c, &direct).await;
                     let input = Input::Orders { machine, batch, outcome };
                     let _ = events.send(Event::Input(input)).await;
                 });
@@ -171,8 +195,7 @@
     }
 }
 
-async fn command(addr: &str, direct: &Direct) -> DirectOutcome {
-    let c = Client::new(addr, Duration::from_millis(800));
+async fn command(c: &Client, direct: &Direct) -> DirectOutcome {
     match c.call(Method::POST, worker::COMMANDS, Some(direct), DIRECT_LIMIT).await {
         Ok((status, b)) => match (status, parse::<Report>(&b)) {
             (200, Some(r)) => DirectOutcome::Executed(Box::new(r)),
