--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -801,8 +801,8 @@
                 }
             }
             SeatMsg::AskDecision { negotiation } => self.answer_decision(ctx, from, negotiation),
-            SeatMsg::Room => {
-                for j in self.jobs.values_mut() {
+            SeatMsg::Room { priority } => {
+                for j in self.jobs.values_mut().filter(|j| j.wire.priority >= priority) {
                     j.room_somewhere(ctx.now);
                 }
                 ctx.wake = true;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -460,7 +460,7 @@
             SeatMsg::Offers { .. }
             | SeatMsg::AskDecision { .. }
             | SeatMsg::TeamGrant { .. }
-            | SeatMsg::Room
+            | SeatMsg::Room { .. }
             | SeatMsg::Events { .. } => {
                 o.coordinator.handle(&mut c, from, msg);
             }
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -25,6 +25,8 @@
 const MOVE_MS: u64 = 1500;
 /// A seat is told of free room no more often than this.
 const TELL_MS: u64 = 800;
+/// So much earlier than the others those with the most important work are told.
+const TOP_FIRST_MS: u64 = 300;
 /// What nobody waits for is told together, this often.
 const LAZY_MS: u64 = 300;
 /// A replica that has run for less is not moved.
@@ -151,6 +153,8 @@
     short: Vec<Short>,
     /// Room became free that the short seats were not told of.
     freed: bool,
+    /// When those with the most important shortage were told; the others follow.
+    top_told_at: Option<Now>,
     /// Machines with something to tell that can wait.
     lazy: BTreeSet<MachineIdx>,
     lazy_at: Now,
@@ -167,10 +171,11 @@
     }
 }
 
-/// Whether a seat was offered less than it asked for, and when it was last told of free room.
+/// The priority for which a seat was offered less than it asked for, and when it was last told
+/// of free room.
 #[derive(Clone, Copy, Debug, Default)]
 struct Short {
-    wants: bool,
+    wants: Option<Priority>,
     told_at: Now,
 }
 
@@ -193,6 +198,7 @@
             move_at: now,
             short: vec![Short::default(); seats],
             freed: false,
+            top_told_at: None,
             lazy: BTreeSet::new(),
             lazy_at: now,
         }
@@ -921,7 +927,7 @@
             }
             if wanted > 0 {
                 if let Some(s) = self.short.get_mut(from.0 as usize) {
-                    s.wants = true;
+                    s.wants = s.wants.max(Some(w.shape.priority));
                 }
             }
             if w.make_room && wanted > 0 {
@@ -1006,18 +1012,27 @@
 
     /// Who asked in vain need not ask over and over: it is told when there is something to ask
     /// for. (Found by counting: with a fleet that was booting, asking took most of the time.)
+    /// The most important first: told all at once, arrays filled new machines before replicas
+    /// that had waited longer were asked for.
     fn tell_room(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
         if !self.freed {
             return;
         }
+        let top = match self.top_told_at {
+            Some(at) if now < at + TOP_FIRST_MS => return,
+            Some(_) => None,
+            None => self.short.iter().filter_map(|s| s.wants).max(),
+        };
         for (i, s) in self.short.iter_mut().enumerate() {
-            if s.wants && now >= s.told_at + TELL_MS {
-                *s = Short { wants: false, told_at: now };
-                ctx.send(self.seat, Seat(i as u8), SeatMsg::Room);
+            let told = s.wants.filter(|w| top.is_none_or(|t| *w == t));
+            if let Some(priority) = told.filter(|_| now >= s.told_at + TELL_MS) {
+                *s = Short { wants: None, told_at: now };
+                ctx.send(self.seat, Seat(i as u8), SeatMsg::Room { priority });
             }
         }
-        self.freed = self.short.iter().any(|s| s.wants);
+        self.top_told_at = top.map(|_| now);
+        self.freed = top.is_some();
     }
 
     pub fn tick(&mut self, ctx: &mut Ctx) {
--- a/crates/testkit/src/tally.rs
+++ b/crates/testkit/src/tally.rs
@@ -31,7 +31,7 @@
         SeatMsg::Offers { .. } => "mesh Offers",
         SeatMsg::AskDecision { .. } => "mesh AskDecision",
         SeatMsg::Events { .. } => "mesh Events",
-        SeatMsg::Room => "mesh Room",
+        SeatMsg::Room { .. } => "mesh Room",
         SeatMsg::TeamUsage { .. } => "mesh TeamUsage",
         SeatMsg::TeamGrant { .. } => "mesh TeamGrant",
         SeatMsg::Lacks { .. } => "mesh Lacks",
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -245,8 +245,11 @@
     AskDecision {
         negotiation: u64,
     },
-    /// Room became free since this part offered less than was asked for: ask again.
-    Room,
+    /// Room became free since this part offered less than was asked for: ask again, for jobs of
+    /// this priority or higher.
+    Room {
+        priority: Priority,
+    },
     Events {
         events: Vec<TaskEvent>,
     },
