--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -125,9 +125,16 @@
 pub fn job_key(s: Seat, j: JobId) -> String {
     format!("j/{}/{}", s.0, j.0)
 }
+pub fn final_prefix(s: Seat) -> String {
+    format!("f/{}/", s.0)
+}
 pub fn final_key(s: Seat, j: JobId) -> String {
     format!("f/{}/{}", s.0, j.0)
 }
+/// The job that a key of `j/` or `f/` is about.
+pub fn job_of_key(key: &str) -> Option<JobId> {
+    key.rsplit('/').next()?.parse().ok().map(JobId)
+}
 fn run_key(s: Seat, j: JobId, chunk: u32) -> String {
     format!("r/{}/{}.{}", s.0, j.0, chunk)
 }
@@ -252,7 +259,7 @@
     }
 
     pub fn job_created(&mut self, ctx: &mut Ctx, key: &str, value: &Value) {
-        let Some(id) = key.rsplit('/').next().and_then(|s| s.parse().ok()).map(JobId) else {
+        let Some(id) = job_of_key(key) else {
             return;
         };
         if self.jobs.contains_key(&id) || self.closed.contains_key(&id) {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -158,6 +158,11 @@
                 }
             }
             self.lapsed = false;
+            // Its lease runs from its own beginning, which may be just now, whatever was granted
+            // to the one before. (Found by the simulator, with a node that got no processor
+            // time: an answer to commands told of the new session, a task was started in it, and
+            // the old session's lease then called it gone.)
+            self.granted = self.granted.max(now);
         }
         self.session = r.session;
         self.seq = r.seq;
@@ -376,3 +381,29 @@
         self.cached.iter().any(|c| c.0 == image)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_new_session_has_a_lease_of_its_own() {
+        let report = |session| Report {
+            machine: "n-000001".into(),
+            addr: String::new(),
+            type_name: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            session,
+            seq: 1,
+            token: 5,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        let mut m = Machine::new(1000);
+        assert!(m.apply(&report(1), Epoch(5), true, 2000));
+        let first = m.lease_over_at(8000);
+        assert!(m.apply(&report(2), Epoch(5), false, first - 10));
+        assert!(m.lease_over_at(8000) >= first - 10 + 8000, "it may have begun just now");
+    }
+}
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -9,7 +9,9 @@
 use crate::jobs::{wire_shape, Aims, Job};
 use crate::names::{Names, Room};
 use crate::participant::Part;
-use crate::seat::{at_least, parse_seat_key, seat_key, Lease, Owner, SeatView, LEASE_MS, RENEW_MS};
+use crate::seat::{
+    at_least, at_most, parse_seat_key, seat_key, Lease, Owner, SeatView, LEASE_MS, RENEW_MS,
+};
 use crate::teams::{self, Desk};
 use leaddeal_wire::mesh::{NodeMsg, SeatMsg, Told};
 use leaddeal_wire::settings::Settings;
@@ -26,11 +28,20 @@
 /// Requests under way beyond this are refused at once.
 const MOST_CALLS: usize = 300;
 const TICK_SLOW_MS: u64 = 1000;
+/// What a worker takes to find another node, and its commands to take effect.
+const LET_GO_MS: u64 = 12_000;
+/// Final states are read from so long before a sibling was last heard: what it sent until then
+/// came, or was sent again.
+const FINALS_BACK_MS: u64 = 5000;
+/// Remembered revisions of the store, one a second.
+const MARKS: usize = 20;
 
 /// What the core needs of the settings.
 #[derive(Clone, Debug)]
 pub struct Config {
     pub worker_lease_ms: u64,
+    /// A cancelled job's tasks must be gone so long after its user was told.
+    pub cancel_ms: u64,
     /// A machine silent for this long gets no new work.
     pub quiet_ms: u64,
     pub max_picks: usize,
@@ -95,6 +106,8 @@
     Submit { req: ReqId, id: JobId, value: serde_json::Value },
     ReadJob { req: ReqId, id: JobId, ask: AskKind },
     ReadFinal { req: ReqId, id: JobId, ask: AskKind },
+    Finals { seat: Seat },
+    FinalsList { seat: Seat },
     BasePut,
     BaseGet,
     Catalog,
@@ -123,6 +136,16 @@
     leave_until: Now,
 }
 
+/// Reading the final states of a seat whose owner is not heard.
+#[derive(Debug)]
+struct Finals {
+    after: u64,
+    /// The changes since then are gone: all of them are read, beginning after this key.
+    list_after: Option<Option<String>>,
+    busy: bool,
+    retry_at: Now,
+}
+
 struct Ops {
     next: OpId,
     open: HashMap<OpId, OpKind>,
@@ -292,6 +315,11 @@
     next_acquire: Vec<Now>,
     wake: bool,
     looked: u64,
+    finals: Vec<Option<Finals>>,
+    /// Newest revision heard of.
+    revision: u64,
+    /// When which revision was the newest.
+    marks: VecDeque<(Now, u64)>,
 }
 
 impl Node {
@@ -309,6 +337,7 @@
             time_ms: 0,
             cfg: Config {
                 worker_lease_ms: (p.workers.lease_s * 1000.0) as u64,
+                cancel_ms: (p.workers.cancel_s * 1000.0) as u64,
                 quiet_ms: (p.workers.report_s * 2500.0) as u64 + 500,
                 max_picks: ((p.state.value_kb * 1024.0 - 200.0) / 64.0).clamp(1.0, 150.0) as usize,
                 txn_ops: p.state.txn_ops,
@@ -344,6 +373,9 @@
             nodes,
             wake: false,
             looked: 0,
+            finals: (0..n).map(|_| None).collect(),
+            revision: 0,
+            marks: VecDeque::new(),
         }
     }
 
@@ -385,6 +417,12 @@
                     if !matches!(result, StoreResult::Refused | StoreResult::Unknown) {
                         self.state_ok_at = now;
                     }
+                    self.revision = self.revision.max(match &result {
+                        StoreResult::Committed(r) => *r,
+                        StoreResult::Page(p) => p.revision,
+                        StoreResult::Events(e) => e.revision,
+                        _ => 0,
+                    });
                     self.stored(&mut out, kind, result);
                 }
             }
@@ -602,10 +640,20 @@
 
     // ---- workers -------------------------------------------------------------------------
 
+    /// Whether workers may be answered. Who hears neither the store nor a sibling can't learn what
+    /// was cancelled: it lets its workers go in time for whoever owns its seats by then. (Found
+    /// by the simulator: workers stayed with such a node for its whole grace.)
+    fn may_answer(&self, now: Now) -> bool {
+        let silent = |(i, h): (usize, &Now)| i == self.me.0 as usize || now >= h + SILENT_MS;
+        let alone = self.nodes.len() > 1 && self.heard.iter().enumerate().all(silent);
+        let in_time = self.cfg.cancel_ms.saturating_sub(LET_GO_MS);
+        self.lease.in_grace(now) && !(alone && now >= self.lease.renewed + at_most(in_time))
+    }
+
     fn report(&mut self, out: &mut Out, req: ReqId, r: &Report) {
         let now = out.now;
         let seat = seat_of_machine(&r.machine, self.view.len());
-        let grace = self.lease.in_grace(now);
+        let grace = self.may_answer(now);
         let owner = self.view[seat.0 as usize].owner;
         let mut c = ctx!(self, out);
         let reply = if let Some(o) = self.owned[seat.0 as usize].as_mut().filter(|_| grace) {
@@ -984,6 +1032,7 @@
             }
             self.wake |= c.wake;
         }
+        self.tick_finals(out);
         if now >= self.slow_at {
             self.slow_at = now + TICK_SLOW_MS;
             self.slow_tick(out);
@@ -994,8 +1043,87 @@
         }
     }
 
+    /// A sibling that is alive but not heard can't tell which jobs were cancelled: the store can.
+    /// (Found on hunts: controllers reached all but each other for longer than a cancellation may
+    /// take, and cancelled tasks ran on.)
+    fn tick_finals(&mut self, out: &mut Out) {
+        let now = out.now;
+        for i in 0..self.view.len() {
+            let seat = Seat(i as u8);
+            let mut c = ctx!(self, out);
+            let heard = c.owner(seat).filter(|o| o.node != c.me && !c.reachable(seat));
+            let Some(owner) = heard.filter(|_| self.owned.iter().any(Option::is_some)) else {
+                self.finals[i] = None;
+                continue;
+            };
+            let since = self.heard[owner.node.0 as usize].saturating_sub(FINALS_BACK_MS);
+            let mark = || self.marks.iter().rev().find(|m| m.0 <= since).map_or(0, |m| m.1);
+            let f = self.finals[i].get_or_insert_with(|| Finals {
+                after: mark(),
+                list_after: None,
+                busy: false,
+                retry_at: now,
+            });
+            if f.busy || now < f.retry_at {
+                continue;
+            }
+            f.busy = true;
+            let prefix = coordinator::final_prefix(seat);
+            match &f.list_after {
+                Some(after) => {
+                    let call = StoreCall::List { prefix, after: after.clone() };
+                    c.store(OpKind::FinalsList { seat }, call);
+                }
+                None => {
+                    let call = StoreCall::Watch { prefix, after: f.after, wait_ms: 3000 };
+                    c.store(OpKind::Finals { seat }, call);
+                }
+            }
+        }
+    }
+
+    fn finals_read(&mut self, out: &mut Out, seat: Seat, result: StoreResult) {
+        let now = out.now;
+        let Some(f) = self.finals.get_mut(seat.0 as usize).and_then(Option::as_mut) else {
+            return;
+        };
+        f.busy = false;
+        let keys: Vec<String> = match result {
+            StoreResult::Events(e) => {
+                f.after = e.revision;
+                e.events.into_iter().filter_map(|e| e.put).collect()
+            }
+            StoreResult::Page(p) => {
+                let keys: Vec<String> = p.items.into_iter().map(|i| i.key).collect();
+                if f.list_after == Some(None) {
+                    f.after = p.revision;
+                }
+                f.list_after = keys.last().filter(|_| p.more).map(|k| Some(k.clone()));
+                keys
+            }
+            StoreResult::TooOld => {
+                f.list_after = Some(None);
+                return;
+            }
+            _ => {
+                f.retry_at = now + 300;
+                return;
+            }
+        };
+        for id in keys.iter().filter_map(|k| coordinator::job_of_key(k)) {
+            let mut c = ctx!(self, out);
+            for o in self.owned.iter_mut().flatten() {
+                o.part.job_over(&mut c, id);
+            }
+        }
+    }
+
     fn slow_tick(&mut self, out: &mut Out) {
         let now = out.now;
+        self.marks.push_back((now, self.revision));
+        if self.marks.len() > MARKS {
+            self.marks.pop_front();
+        }
         let owned: Vec<(u8, u64)> = match self.lease.valid(now) {
             true => self.owned_seats().iter().map(|(s, e)| (s.0, e.0)).collect(),
             false => Vec::new(),
@@ -1243,6 +1371,9 @@
                     _ => c.reply_later(req, 503, 1),
                 }
             }
+            OpKind::Finals { seat } | OpKind::FinalsList { seat } => {
+                self.finals_read(out, seat, result);
+            }
             OpKind::BasePut => {
                 let mut c = ctx!(self, out);
                 match result {
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -474,6 +474,24 @@
         self.dirty.insert(idx);
     }
 
+    /// The job's final state is written: whatever of it is here stops, told so by its
+    /// coordinator or not.
+    pub fn job_over(&mut self, ctx: &mut Ctx, job: JobId) {
+        let here = (job, 0, Attempt(0))..=(job, u32::MAX, Attempt(u64::MAX));
+        let mut all = Vec::new();
+        for (&idx, m) in &self.machines {
+            for (k, t) in m.tasks.range(here.clone()).filter(|(_, t)| !t.over()) {
+                let machine = ctx.names.machine_name(idx).to_string();
+                let session = Some(t.session);
+                let (task, attempt) = (k.1, k.2 .0);
+                all.push(AttemptRef { job: job.0, task, attempt, machine, session });
+            }
+        }
+        for what in &all {
+            self.stop(ctx, what, 0.0);
+        }
+    }
+
     fn free(
         &self,
         idx: MachineIdx,
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -11,7 +11,7 @@
 
 /// Clocks may differ by 0.05%; this is a safe factor, and the rounding of timers besides.
 pub fn at_most(ms: u64) -> u64 {
-    ms - ms / 1000 - 50
+    ms.saturating_sub(ms / 1000 + 50)
 }
 
 pub fn at_least(ms: u64) -> u64 {
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -93,6 +93,7 @@
     blind: Vec<bool>,
     /// A node without processor time until then: what comes for it waits.
     stalled: Vec<u64>,
+    apart_until: u64,
     tally: Option<Tally>,
     looks: u64,
     outage_until: u64,
@@ -172,6 +173,7 @@
             cut: vec![false; NODES],
             blind: vec![false; NODES],
             stalled: vec![0; NODES],
+            apart_until: 0,
             tally: None,
             looks: 0,
             outage_until: 0,
@@ -301,7 +303,7 @@
             Output::Mesh { to, msg } => {
                 let to: usize = to[2..].parse().map_err(|_| "bad node name".to_string())?;
                 let from = format!("n-{n}");
-                let lost = self.cut[n] || self.cut[to];
+                let lost = self.cut[n] || self.cut[to] || self.now < self.apart_until;
                 if !lost && self.nodes[to].is_some() {
                     // A connection keeps its order.
                     let t = (self.now + lag).max(*self.links.get(&(n, to)).unwrap_or(&0));
@@ -436,8 +438,9 @@
     }
 
     fn ask(&mut self, req: Req, make: impl FnOnce(u64) -> Input) -> Result<(), String> {
-        let up: Vec<usize> =
-            (0..NODES).filter(|&n| self.nodes[n].is_some() && !self.cut[n]).collect();
+        let up: Vec<usize> = (0..NODES)
+            .filter(|&n| self.nodes[n].is_some() && !self.cut[n] && self.now >= self.stalled[n])
+            .collect();
         if up.is_empty() {
             match req {
                 Req::Cancel(id) => self.at(2000, Ev::Cancel(id)),
@@ -672,7 +675,9 @@
         let wait = self.rng.random_range(3000..15_000);
         self.at(wait, Ev::Fault);
         let n = self.rng.random_range(0..NODES);
-        match self.rng.random_range(0..9) {
+        match self.rng.random_range(0..12) {
+            // Controllers reach all but each other, for longer than a cancellation may take.
+            10 => self.apart_until = self.now + self.rng.random_range(5000..45_000),
             0 | 1 => {
                 self.nodes[n] = None;
                 let back = self.rng.random_range(2000..8000);
@@ -688,7 +693,9 @@
             3 => self.outage_until = self.now + self.rng.random_range(2000..20_000),
             4 => self.cut[n] = !self.cut[n],
             5 => self.blind[n] = !self.blind[n],
-            6 | 7 => {
+            // No processor time for a while: whatever is due or comes is late, its lease over.
+            6 | 7 => self.stalled[n] = self.now + self.rng.random_range(1000..25_000),
+            8 | 9 => {
                 let names: Vec<String> = self.workers.keys().cloned().collect();
                 let m = &names[self.rng.random_range(0..names.len())];
                 let long = self.rng.random_range(1000..20_000);
