One way each to lock, to tell who is heard, to name a job and to count room; fits worked out once

- the age of kept connections is told from one reading of the clock a tick, not one a connection
- what holds for a type of machine is worked out once an item, also when room is made for it
- who is of lesser priority is judged in `victims` alone; `Seek` replaces six arguments
- `lately`, `thousandths`, `JobName` and `lock` serve the places that had each written them
- reading final states: one kind of operation, and an enum instead of an option in an option

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -104,6 +104,12 @@
     gpu_work: bool,
 }
 
+impl Default for Load {
+    fn default() -> Load {
+        Load { used: Some(Room::default()), lasting: Room::default(), gpu_work: false }
+    }
+}
+
 impl Machine {
     pub fn new(now: Now) -> Machine {
         Machine {
@@ -127,7 +133,7 @@
             direct: None,
             direct_after: 0,
             lapsed: false,
-            load: Load { used: Some(Room::default()), lasting: Room::default(), gpu_work: false },
+            load: Load::default(),
         }
     }
 
@@ -249,7 +255,7 @@
     }
 
     fn sum_up(&self) -> Load {
-        let mut l = Load { used: Some(Room::default()), lasting: Room::default(), gpu_work: false };
+        let mut l = Load::default();
         for t in self.tasks.values().filter(|t| !t.over()) {
             let Some(s) = &t.shape else {
                 l.used = None;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -41,6 +41,11 @@
     pub mem: u64,
 }
 
+/// Of what there is, rounded down; what tasks take is rounded up.
+pub fn thousandths(v: f64) -> u64 {
+    (v * 1000.0 + 1e-6).floor() as u64
+}
+
 impl Room {
     /// What a task of this shape takes.
     pub fn of(s: &mesh::Shape) -> Room {
@@ -122,11 +127,10 @@
                 None => {}
             }
         }
-        let milli = |v: f64| (v * 1000.0 + 1e-6).floor() as u64;
         let room = |t: &MachineType| Room {
-            cpu: milli(t.cpus),
-            gpu: milli(t.gpus),
-            mem: milli(t.memory_gb),
+            cpu: thousandths(t.cpus),
+            gpu: thousandths(t.gpus),
+            mem: thousandths(t.memory_gb),
         };
         self.rooms = self.catalog.iter().map(room).collect();
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -36,6 +36,11 @@
 /// Remembered revisions of the store, one a second.
 const MARKS: usize = 20;
 
+/// Whether a sibling heard at that time is taken for reachable.
+fn lately(heard: Now, now: Now) -> bool {
+    now < heard + SILENT_MS
+}
+
 /// What the core needs of the settings.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -107,7 +112,6 @@
     ReadJob { req: ReqId, id: JobId, ask: AskKind },
     ReadFinal { req: ReqId, id: JobId, ask: AskKind },
     Finals { seat: Seat },
-    FinalsList { seat: Seat },
     BasePut,
     BaseGet,
     Catalog,
@@ -136,12 +140,21 @@
     leave_until: Now,
 }
 
+#[derive(Debug, PartialEq)]
+enum Reading {
+    Changes,
+    /// The changes are not kept for so long: all there is, from the beginning.
+    Start,
+    /// The next page, after this key.
+    Page(String),
+}
+
 /// Reading the final states of a seat whose owner is not heard.
 #[derive(Debug)]
 struct Finals {
+    /// Revision that has been read up to.
     after: u64,
-    /// The changes since then are gone: all of them are read, beginning after this key.
-    list_after: Option<Option<String>>,
+    how: Reading,
     busy: bool,
     retry_at: Now,
 }
@@ -182,7 +195,7 @@
     pub fn reachable(&self, s: Seat) -> bool {
         self.owner(s).is_some_and(|o| {
             o.node == self.me
-                || self.heard.get(o.node.0 as usize).is_some_and(|h| self.now < h + SILENT_MS)
+                || self.heard.get(o.node.0 as usize).is_some_and(|&h| lately(h, self.now))
         })
     }
 
@@ -644,7 +657,7 @@
     /// was cancelled: it lets its workers go in time for whoever owns its seats by then. (Found
     /// by the simulator: workers stayed with such a node for its whole grace.)
     fn may_answer(&self, now: Now) -> bool {
-        let silent = |(i, h): (usize, &Now)| i == self.me.0 as usize || now >= h + SILENT_MS;
+        let silent = |(i, &h): (usize, &Now)| i == self.me.0 as usize || !lately(h, now);
         let alone = self.nodes.len() > 1 && self.heard.iter().enumerate().all(silent);
         let in_time = self.cfg.cancel_ms.saturating_sub(LET_GO_MS);
         self.lease.in_grace(now) && !(alone && now >= self.lease.renewed + at_most(in_time))
@@ -923,7 +936,7 @@
             let take = match v.owner {
                 None => {
                     let home = i == self.me.0 as usize;
-                    let alive = |k: usize| now < self.heard[k] + SILENT_MS;
+                    let alive = |k: usize| lately(self.heard[k], now);
                     // Home takes its own seat at once; others in order of distance, and only
                     // later if home is alive.
                     let wait = if home {
@@ -1060,7 +1073,7 @@
             let mark = || self.marks.iter().rev().find(|m| m.0 <= since).map_or(0, |m| m.1);
             let f = self.finals[i].get_or_insert_with(|| Finals {
                 after: mark(),
-                list_after: None,
+                how: Reading::Changes,
                 busy: false,
                 retry_at: now,
             });
@@ -1069,16 +1082,12 @@
             }
             f.busy = true;
             let prefix = coordinator::final_prefix(seat);
-            match &f.list_after {
-                Some(after) => {
-                    let call = StoreCall::List { prefix, after: after.clone() };
-                    c.store(OpKind::FinalsList { seat }, call);
-                }
-                None => {
-                    let call = StoreCall::Watch { prefix, after: f.after, wait_ms: 3000 };
-                    c.store(OpKind::Finals { seat }, call);
-                }
-            }
+            let call = match &f.how {
+                Reading::Changes => StoreCall::Watch { prefix, after: f.after, wait_ms: 3000 },
+                Reading::Start => StoreCall::List { prefix, after: None },
+                Reading::Page(after) => StoreCall::List { prefix, after: Some(after.clone()) },
+            };
+            c.store(OpKind::Finals { seat }, call);
         }
     }
 
@@ -1095,14 +1104,15 @@
             }
             StoreResult::Page(p) => {
                 let keys: Vec<String> = p.items.into_iter().map(|i| i.key).collect();
-                if f.list_after == Some(None) {
+                if f.how == Reading::Start {
                     f.after = p.revision;
                 }
-                f.list_after = keys.last().filter(|_| p.more).map(|k| Some(k.clone()));
+                let next = keys.last().filter(|_| p.more).cloned();
+                f.how = next.map_or(Reading::Changes, Reading::Page);
                 keys
             }
             StoreResult::TooOld => {
-                f.list_after = Some(None);
+                f.how = Reading::Start;
                 return;
             }
             _ => {
@@ -1371,7 +1381,7 @@
                     _ => c.reply_later(req, 503, 1),
                 }
             }
-            OpKind::Finals { seat } | OpKind::FinalsList { seat } => {
+            OpKind::Finals { seat } => {
                 self.finals_read(out, seat, result);
             }
             OpKind::BasePut => {
--- a/crates/core/src/participant.rs
+++ b/crates/core/src/participant.rs
@@ -98,7 +98,7 @@
 struct Seek<'a> {
     w: &'a Wanted,
     shape: &'a Shape,
-    fits: Fits,
+    fits: &'a Fits,
     rank: Option<Rank>,
     /// How many tasks each zone may take.
     zones: &'a [u32],
@@ -162,7 +162,7 @@
 
 /// Whether a coordinator has to act on it soon. The other phases it shows to users, and writes
 /// together what is done; a worker goes through several of them within a second.
-fn pressing(p: Phase) -> bool {
+fn acted_on(p: Phase) -> bool {
     match p {
         Phase::Exited(Why::Done, _) => false,
         Phase::Exited(..) | Phase::Gone | Phase::On(TaskState::Saving | TaskState::Exited) => true,
@@ -590,22 +590,11 @@
         left
     }
 
-    /// Stops less important tasks so that up to `count` tasks of the job find room soon, on
-    /// machines with GPUs too or not.
-    fn make_room(
-        &mut self,
-        ctx: &mut Ctx,
-        w: &Wanted,
-        shape: &Shape,
-        count: u32,
-        zones: &[u32],
-        gpus: bool,
-    ) {
+    /// Stops less important tasks so that up to `count` tasks of the job find room soon.
+    fn make_room(&mut self, ctx: &mut Ctx, seek: &Seek, count: u32) {
         let now = ctx.now;
+        let Seek { w, shape, rank, zones, .. } = *seek;
         let job = JobId(w.job);
-        let rank = self.waiting.get(&job).map(|w| w.rank);
-        let seek =
-            Seek { w, shape, fits: fits_of(ctx.names, &w.shape, w.pressing), rank, zones, gpus };
         let have = self.claims.iter().filter(|c| c.job == job).count() as u32;
         let lasts = |c: &Claim| {
             let m = self.machines.get(&c.machine).filter(|m| !m.lapsed && m.notice.is_none())?;
@@ -622,7 +611,7 @@
         // What is done to one machine leaves the others as they are: each is judged once, and
         // again only after it was chosen.
         let look = |p: &Part, ctx: &Ctx, idx: MachineIdx| {
-            let (cost, keys) = p.sacrifice(ctx, &seek, idx, p.machines.get(&idx)?)?;
+            let (cost, keys) = p.sacrifice(ctx, seek, idx, p.machines.get(&idx)?)?;
             Some((Reverse((cost, idx)), keys))
         };
         let wanted = count.min(have + 32).saturating_sub(have);
@@ -661,7 +650,7 @@
         idx: MachineIdx,
         m: &Machine,
     ) -> Option<((u64, bool), Vec<Key>)> {
-        let Seek { w, shape, ref fits, rank, zones, gpus } = *seek;
+        let Seek { w, shape, fits, rank, zones, gpus } = *seek;
         let now = ctx.now;
         let job = JobId(w.job);
         let (kind, zone) = self.usable(ctx, idx, m, w, fits)?;
@@ -694,7 +683,7 @@
             }
             // GPU work is not stopped for work without GPUs, nor its room taken.
             let safe = shape.need.gpu == 0 && s.need.gpu > 0;
-            if safe || s.wire.priority >= shape.wire.priority {
+            if safe {
                 continue;
             }
             let ran = t.on_since.map_or(0, |s| now.saturating_sub(s)) / 1000;
@@ -800,7 +789,15 @@
         };
         let claims = |p: &Part| p.claims.iter().filter(|c| c.job == key.0).count();
         let before = claims(self);
-        self.make_room(ctx, &w, &shape, before as u32 + 1, &w.zone_room, false);
+        let seek = Seek {
+            w: &w,
+            shape: &shape,
+            fits: &fits_of(ctx.names, &w.shape, w.pressing),
+            rank: None,
+            zones: &w.zone_room,
+            gpus: false,
+        };
+        self.make_room(ctx, &seek, before as u32 + 1);
         if claims(self) == before {
             return;
         }
@@ -955,7 +952,10 @@
                         *r = if i == z as usize { *r } else { 0 };
                     }
                 }
-                self.make_room(ctx, w, &shape, wanted, &zone_room, true);
+                let rank = self.waiting.get(&JobId(w.job)).map(|w| w.rank);
+                let (shape, fits, zones) = (&shape, &fits, &zone_room);
+                let seek = Seek { w, shape, fits, rank, zones, gpus: true };
+                self.make_room(ctx, &seek, wanted);
                 let claims = self.claims.iter().filter(|c| c.job.0 == w.job).count();
                 if claims as u32 >= wanted {
                     coming.push(i as u16);
@@ -991,7 +991,7 @@
                 if t.told == Some((epoch, t.phase)) && !again {
                     continue;
                 }
-                if !all && !pressing(t.phase) {
+                if !all && !acted_on(t.phase) {
                     self.lazy.insert(idx);
                     continue;
                 }
--- a/crates/core/src/teams.rs
+++ b/crates/core/src/teams.rs
@@ -6,13 +6,14 @@
 //! has told what its tasks take; a coordinator's share stays counted until its seat's next owner
 //! has told anew.
 use crate::ids::{Epoch, Seat};
+use crate::names::thousandths;
 use leaddeal_wire::mesh::TeamUse;
 use leaddeal_wire::settings::Team;
 use std::collections::BTreeMap;
 
 /// The limit of a team in thousandths; none: no limit.
 pub fn limit(t: &Team) -> Option<(u64, u64)> {
-    let m = |v: f64| if v > 0.0 { (v * 1000.0 + 1e-6).floor() as u64 } else { u64::MAX };
+    let m = |v: f64| if v > 0.0 { thousandths(v) } else { u64::MAX };
     (t.cpus_max > 0.0 || t.gpus_max > 0.0).then(|| (m(t.cpus_max), m(t.gpus_max)))
 }
 
--- a/crates/leaddeal/src/client.rs
+++ b/crates/leaddeal/src/client.rs
@@ -13,6 +13,11 @@
 const MOST_IDLE: usize = 4;
 const MOST_BODY: usize = 8 << 20;
 
+/// Nobody keeps a lock over a wait, and a panic ends the process.
+pub fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Why there is no answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum NoAnswer {
@@ -35,10 +40,6 @@
         Client { addr: addr.to_string(), connect, idle: Arc::default() }
     }
 
-    fn idle(&self) -> MutexGuard<'_, Vec<SendRequest<Full<Bytes>>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     async fn open(&self) -> Result<SendRequest<Full<Bytes>>, NoAnswer> {
         let s = timeout(self.connect, TcpStream::connect(&self.addr))
             .await
@@ -64,7 +65,7 @@
             None => Bytes::new(),
         };
         let idle = loop {
-            let c = self.idle().pop();
+            let c = lock(&self.idle).pop();
             match c {
                 Some(c) if c.is_closed() || !c.is_ready() => {}
                 other => break other,
@@ -96,7 +97,7 @@
             Ok((status, body.to_bytes()))
         };
         let answer = timeout(limit, work).await.map_err(|_| NoAnswer::Unknown)??;
-        let mut idle = self.idle();
+        let mut idle = lock(&self.idle);
         if idle.len() < MOST_IDLE && tx.is_ready() {
             idle.push(tx);
         }
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -25,6 +25,7 @@
 const CLOCK_FROM: u64 = 100 * 24 * 3_600_000;
 const TICK: Duration = Duration::from_millis(100);
 const EVENTS: usize = 1000;
+const CONNECT_LIMIT: Duration = Duration::from_millis(800);
 const STORE_LIMIT: Duration = Duration::from_millis(2000);
 const CLOUD_LIMIT: Duration = Duration::from_secs(8);
 const DIRECT_LIMIT: Duration = Duration::from_millis(2500);
@@ -81,11 +82,10 @@
     };
     tokio::spawn(door::listen(user_listener, door, most));
     tokio::spawn(link::listen(peer_listener, tx.clone(), s.nodes()));
-    let connect = Duration::from_millis(800);
     let mut world = World {
         events: tx.clone(),
-        store: Client::new(&s.services.state, connect),
-        cloud: Client::new(&s.services.cloud, connect),
+        store: Client::new(&s.services.state, CONNECT_LIMIT),
+        cloud: Client::new(&s.services.cloud, CONNECT_LIMIT),
         workers: HashMap::new(),
         most_workers: most / 4,
         links: s
@@ -109,7 +109,8 @@
                 healthy.store(core.healthy(now()), Ordering::Relaxed);
                 // Whoever gave up waiting is not answered any more.
                 world.replies.retain(|_, r| !r.is_closed());
-                world.workers.retain(|_, w| w.1.elapsed() < WORKER_IDLE);
+                let at = Instant::now();
+                world.workers.retain(|_, w| at.duration_since(w.1) < WORKER_IDLE);
                 Input::Tick
             }
             e = rx.recv() => match e {
@@ -139,7 +140,7 @@
             *at = now;
             return c.clone();
         }
-        let c = Client::new(addr, Duration::from_millis(800));
+        let c = Client::new(addr, CONNECT_LIMIT);
         if self.workers.len() < self.most_workers {
             self.workers.insert(addr.to_string(), (c.clone(), now));
         }
--- a/crates/leaddeal/src/link.rs
+++ b/crates/leaddeal/src/link.rs
@@ -1,10 +1,11 @@
 //! Connections between controllers: length-framed CBOR over TCP. Each node sends on connections
 //! that it opened, and listens on those that others opened.
+use crate::client::lock;
 use crate::driver::Event;
 use leaddeal_core::Input;
 use leaddeal_wire::mesh::{Hello, NodeMsg, MAX_FRAME};
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -32,10 +33,6 @@
     into[at..at + 4].copy_from_slice(&n.to_be_bytes());
 }
 
-fn quiet(since: &Mutex<Instant>) -> Duration {
-    since.lock().unwrap_or_else(PoisonError::into_inner).elapsed()
-}
-
 async fn read_frame<S: AsyncRead + Unpin>(s: &mut S, buf: &mut Vec<u8>) -> Option<()> {
     let mut head = [0; 4];
     timeout(SILENCE, s.read_exact(&mut head)).await.ok()?.ok()?;
@@ -73,14 +70,14 @@
             let watch = tokio::spawn(async move {
                 let mut sign = [0; 64];
                 while matches!(back.read(&mut sign).await, Ok(n) if n > 0) {
-                    *seen.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+                    *lock(&seen) = Instant::now();
                 }
             });
             let mut buf = Vec::new();
             frame(&Hello { node: node.clone(), boot, generation }, &mut buf);
             loop {
                 let wrote = timeout(WRITE_LIMIT, s.write_all(&buf)).await;
-                if !matches!(wrote, Ok(Ok(()))) || quiet(&read_at) > patience {
+                if !matches!(wrote, Ok(Ok(()))) || lock(&read_at).elapsed() > patience {
                     tracing::info!(event = "link_broken", "{addr}");
                     break;
                 }
@@ -137,7 +134,7 @@
     }
     let me = (hello.boot, hello.generation);
     {
-        let mut n = newest.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut n = lock(&newest);
         let e = n.entry(hello.node.clone()).or_insert(me);
         if *e > me {
             return;
@@ -153,9 +150,7 @@
             }
         }
         // Held-back data of an older connection must not come after that of a newer one.
-        let newer =
-            newest.lock().unwrap_or_else(PoisonError::into_inner).get(&hello.node) != Some(&me);
-        if newer {
+        if lock(&newest).get(&hello.node) != Some(&me) {
             return;
         }
         let Ok(msg) = ciborium::from_reader::<NodeMsg, _>(&buf[..]) else {
--- a/crates/testkit/examples/load.rs
+++ b/crates/testkit/examples/load.rs
@@ -1,11 +1,9 @@
 //! A busy day of a large fleet, counted: `cargo run --release --example load -- [SECONDS]`.
-use leaddeal_testkit::sim::{Plan, Sabotage, Sim};
+use leaddeal_testkit::sim::{Plan, Sim};
 
 fn main() {
     let seconds = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(300);
-    let plan = Plan { seconds, ..Plan::large(1) };
-    let mut sim = Sim::new(Plan { sabotage: Sabotage::None, ..plan });
-    sim.count();
+    let mut sim = Sim::new(Plan { seconds, ..Plan::large(1) });
     if let Err(e) = sim.run() {
         println!("{e}");
         std::process::exit(1);
@@ -13,7 +11,7 @@
     let starts = sim.rules.starts.max(1) as f64;
     println!("{} tasks started in {seconds} s; machines looked at: {}", starts, sim.looked());
     println!("{:30} {:>9} {:>9} {:>12} {:>9}", "kind", "times", "a second", "bytes", "a start");
-    let mut kinds: Vec<_> = sim.tally().by_kind.iter().collect();
+    let mut kinds: Vec<_> = sim.tally.iter().flat_map(|t| &t.by_kind).collect();
     kinds.sort_by_key(|k| std::cmp::Reverse((k.1.bytes, k.1.times)));
     for (kind, c) in kinds {
         let rate = c.times as f64 / seconds as f64;
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -40,17 +40,18 @@
     pub team_max: f64,
     /// So many times the usual machines and tasks; above 1 also GPU machines and gangs for them.
     pub scale: u32,
+    pub counted: bool,
 }
 
 impl Plan {
     pub fn new(seed: u64) -> Plan {
         let sabotage = Sabotage::None;
-        Plan { seed, seconds: 240, faults: true, sabotage, team_max: 6.0, scale: 1 }
+        Plan { seed, seconds: 240, faults: true, sabotage, team_max: 6.0, scale: 1, counted: false }
     }
 
-    /// A fleet of the size of a large deployment, without faults.
+    /// A fleet of the size of a large deployment, without faults, counted.
     pub fn large(seed: u64) -> Plan {
-        Plan { faults: false, team_max: 600.0, scale: 20, ..Plan::new(seed) }
+        Plan { faults: false, team_max: 600.0, scale: 20, counted: true, ..Plan::new(seed) }
     }
 }
 
@@ -94,7 +95,8 @@
     /// A node without processor time until then: what comes for it waits.
     stalled: Vec<u64>,
     apart_until: u64,
-    tally: Option<Tally>,
+    /// What went into the cores and came out, if that is counted.
+    pub tally: Option<Tally>,
     looks: u64,
     outage_until: u64,
     state: State,
@@ -174,7 +176,7 @@
             blind: vec![false; NODES],
             stalled: vec![0; NODES],
             apart_until: 0,
-            tally: None,
+            tally: plan.counted.then(Tally::default),
             looks: 0,
             outage_until: 0,
             state: State::new(plan.sabotage == Sabotage::NoFence),
@@ -710,16 +712,6 @@
         }
     }
 
-    /// Counts from now on what goes into the cores and comes out.
-    pub fn count(&mut self) {
-        self.tally = Some(Tally::default());
-    }
-
-    pub fn tally(&self) -> &Tally {
-        static NONE: Tally = Tally { by_kind: BTreeMap::new() };
-        self.tally.as_ref().unwrap_or(&NONE)
-    }
-
     /// How often the cores that live looked at a machine to judge it for a job.
     pub fn looked(&self) -> u64 {
         self.nodes.iter().flatten().map(Node::looked).sum()
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -34,11 +34,11 @@
 #[test]
 fn a_large_fleet_is_run_with_few_messages_and_looks() {
     let mut sim = Sim::new(Plan { seconds: 120, scale: 5, team_max: 100.0, ..Plan::large(3) });
-    sim.count();
     sim.run().unwrap_or_else(|e| panic!("{e}"));
     let starts = sim.rules.starts as u64;
     assert!(starts > 500, "only {starts} starts");
-    let mesh = sim.tally().by_kind.iter().filter(|k| k.0.starts_with("mesh "));
+    let tally = sim.tally.as_ref().expect("a counted plan");
+    let mesh = tally.by_kind.iter().filter(|k| k.0.starts_with("mesh "));
     let (times, bytes) = mesh.fold((0, 0), |n, (_, c)| (n.0 + c.times, n.1 + c.bytes));
     assert!(times < starts * 9, "{times} messages between controllers for {starts} starts");
     assert!(bytes < starts * 1000, "{bytes} bytes between controllers for {starts} starts");
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -1,6 +1,7 @@
 //! Messages between users and controllers.
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::fmt;
 use thiserror::Error;
 
 pub const JOBS: &str = "/submissions";
@@ -163,6 +164,15 @@
     d.parse().ok()
 }
 
+/// A job's name as text.
+pub struct JobName(pub u64);
+
+impl fmt::Display for JobName {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "wk-{:06}", self.0)
+    }
+}
+
 pub fn job_id(n: u64) -> String {
-    format!("wk-{n:06}")
+    JobName(n).to_string()
 }
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -136,7 +136,7 @@
 
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        write!(f, "wk-{:06}/{}", self.job, self.task)
+        write!(f, "{}/{}", crate::user::JobName(self.job), self.task)
     }
 }
 
