--- a/crates/core/src/part/offer.rs
+++ b/crates/core/src/part/offer.rs
@@ -350,6 +350,7 @@
     use crate::names::Shape;
     use leaddeal_wire::mesh::Phase;
     use leaddeal_wire::worker::TaskState;
+    use std::sync::Arc;
 
     const GPU_TASK: (u64, u64, u64) = (10_000, 2000, 38_000);
     const WHOLE: Room = Room { cpu: 12_000, gpu: 2000, mem: 48_000 };
