Ends of leases in a queue, machines told as changes, sums of jobs kept

Need: what is done ten times or once a second must not walk whole lists of a fleet that grows.

Change: a part looks at a machine when its lease may be over, by a queue of due times, and tells an end again by another; the buyer is told of all machines once and then of changes, numbered, and asks for all when one was lost; a job keeps how many of its tasks run and where, and the times of its aims; the part of a placement is worked out once.

--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -31,13 +31,23 @@
     in_flight: bool,
 }
 
+/// What a part has told of its machines.
+#[derive(Debug, Default)]
+struct PartView {
+    /// When its last message came, and that one's number.
+    at: Now,
+    serial: u64,
+    /// With when each was told.
+    machines: BTreeMap<String, (Now, MachineInfo)>,
+}
+
 #[derive(Debug)]
 pub struct Buyer {
     epoch: Epoch,
     since: Now,
     next_name: u64,
     lacks: BTreeMap<Seat, (Now, Vec<Lack>)>,
-    parts: BTreeMap<Seat, (Now, Vec<MachineInfo>)>,
+    parts: BTreeMap<Seat, PartView>,
     booting: BTreeMap<String, Booting>,
     listed: BTreeMap<String, Listed>,
     page: BTreeMap<String, Listed>,
@@ -102,8 +112,21 @@
             SeatMsg::Lacks { lacks } => {
                 self.lacks.insert(from, (ctx.now, lacks));
             }
-            SeatMsg::Machines { machines } => {
-                self.parts.insert(from, (ctx.now, machines));
+            SeatMsg::Machines { serial, first, machines, gone } => {
+                let view = self.parts.entry(from).or_default();
+                if !first && serial != view.serial + 1 {
+                    ctx.send(BUYER_SEAT, from, SeatMsg::MachinesAgain);
+                    return;
+                }
+                if first {
+                    view.machines.clear();
+                }
+                (view.at, view.serial) = (ctx.now, serial);
+                for name in gone {
+                    view.machines.remove(&name);
+                }
+                let told = machines.into_iter().map(|m| (m.machine.clone(), (ctx.now, m)));
+                view.machines.extend(told);
             }
             SeatMsg::Drained { machine } => {
                 self.draining.remove(&machine);
@@ -225,14 +248,15 @@
         self.refused.insert((r.type_name.clone(), r.zone.clone(), r.spot), now + REFUSED_MS);
     }
 
-    fn reporting(&self) -> BTreeSet<&str> {
-        self.parts.values().flat_map(|p| p.1.iter().map(|m| m.machine.as_str())).collect()
+    /// Whether the machine's part has heard of its worker.
+    fn reports(parts: &BTreeMap<Seat, PartView>, ctx: &Ctx, machine: &str) -> bool {
+        let part = parts.get(&ctx.seat_of_machine(machine));
+        part.is_some_and(|p| p.machines.contains_key(machine))
     }
 
     fn check_list(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
-        let reporting: BTreeSet<String> =
-            self.reporting().into_iter().map(str::to_string).collect();
+        let parts = &self.parts;
         let mut release = Vec::new();
         for (name, l) in &self.listed {
             let boot_ms = ctx
@@ -244,7 +268,7 @@
             match l.status {
                 ListedStatus::Failed => release.push(name.clone()),
                 // Never came up, and is charged until it is returned.
-                ListedStatus::Starting if overdue && !reporting.contains(name) => {
+                ListedStatus::Starting if overdue && !Self::reports(parts, ctx, name) => {
                     release.push(name.clone());
                 }
                 ListedStatus::Starting => {
@@ -258,7 +282,7 @@
                 }
                 ListedStatus::Running => {}
             }
-            if l.status == ListedStatus::Running && !reporting.contains(name) {
+            if l.status == ListedStatus::Running && !Self::reports(parts, ctx, name) {
                 self.silent.entry(name.clone()).or_insert(now);
             } else {
                 self.silent.remove(name);
@@ -274,7 +298,7 @@
         // Rented, then neither listed for long nor heard of: taken before it came up.
         let lag = ctx.cfg.list_lag_ms * 2 + 5000;
         self.booting.retain(|n, b| {
-            !reporting.contains(n) && (listed.contains_key(n) || now < b.since + lag)
+            !Self::reports(parts, ctx, n) && (listed.contains_key(n) || now < b.since + lag)
         });
         self.to_release.extend(release);
         if self.base.is_none() && !self.base_asked {
@@ -328,7 +352,7 @@
         // Every part must have spoken lately; otherwise nothing is known of its free room.
         for s in ctx.seats() {
             let fresh = |t: Option<Now>| t.is_some_and(|t| now < t + 4000);
-            if !fresh(self.parts.get(&s).map(|p| p.0)) || !self.list_known {
+            if !fresh(self.parts.get(&s).map(|p| p.at)) || !self.list_known {
                 return;
             }
         }
@@ -343,9 +367,8 @@
             return;
         }
         // What is coming up takes some of the demand.
-        let reporting: BTreeSet<String> =
-            self.reporting().into_iter().map(str::to_string).collect();
-        self.booting.retain(|n, _| !reporting.contains(n));
+        let parts = &self.parts;
+        self.booting.retain(|n, _| !Self::reports(parts, ctx, n));
         let mut coming: Vec<(Room, Booting)> = self
             .booting
             .values()
@@ -431,8 +454,9 @@
         let now = ctx.now;
         self.draining.retain(|_, t| *t + 10_000 > now);
         let mut drains = Vec::new();
-        for (_, list) in self.parts.values() {
-            for m in list {
+        for view in self.parts.values() {
+            for (at, m) in view.machines.values().filter(|(_, m)| m.dead || m.idle_ms.is_some()) {
+                let idle_ms = m.idle_ms.map(|i| i + now.saturating_sub(*at));
                 if self.gone.contains(&m.machine) || self.to_release.contains(&m.machine) {
                     continue;
                 }
@@ -448,7 +472,7 @@
                     .type_idx(&m.type_name)
                     .map_or(1.0, |i| ctx.names.catalog[i.0 as usize].price);
                 let keep_ms = (60_000.0 * (2.0 / price.max(0.01)).clamp(0.3, 0.7)) as u64;
-                if m.idle_ms.is_some_and(|i| i > keep_ms)
+                if idle_ms.is_some_and(|i| i > keep_ms)
                     && !self.is_base(&m.machine)
                     && self.base.is_some()
                     && !self.draining.contains_key(&m.machine)
--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator.rs
@@ -2,9 +2,10 @@
 use crate::bits::CHUNK;
 use crate::ids::{Attempt, Epoch, JobId, Negotiation, Now, Seat, ZoneIdx};
 use crate::io::{ReqId, StoreCall, StoreResult, UserReply};
-use crate::jobs::{wire_shape, Aims, DoneOn, Job, Placement};
+use crate::jobs::{wire_shape, DoneOn, Job};
 use crate::names::Room;
 use crate::node::{Ctx, OpKind};
+use crate::placed::Placement;
 use crate::seat::seat_key;
 use crate::teams::{self, seat_of_team};
 use leaddeal_wire::mesh::{
@@ -272,7 +273,7 @@
         };
         let age = ctx.time_ms.saturating_sub(value["at"].as_u64().unwrap_or(ctx.time_ms));
         let shape = ctx.names.shape(&Arc::new(wire_shape(&wire)));
-        self.jobs.insert(id, Job::new(id, wire, shape, ctx.now.saturating_sub(age)));
+        self.jobs.insert(id, Job::new(id, wire, shape, ctx.now.saturating_sub(age), &ctx.cfg.aims));
         ctx.wake = true;
     }
 
@@ -305,14 +306,16 @@
                     continue;
                 };
                 let (id, task) = (JobId(job), task as u32);
+                let part = ctx.seat_of_machine(machine);
                 let machine = ctx.names.machine(machine);
                 let j = self.jobs.entry(id).or_insert_with(|| Job::leftover(id, ctx.names));
-                if j.done.get(task) || j.placed.get(&task).is_some_and(|o| o.attempt > attempt) {
+                if j.done.get(task) || j.placed.get(task).is_some_and(|o| o.attempt > attempt) {
                     continue;
                 }
                 let new = Placement {
                     attempt,
                     machine,
+                    part,
                     session,
                     zone: ZoneIdx(zone as u8),
                     phase: Phase::Decided,
@@ -358,7 +361,7 @@
     // ---- the ordinary path ---------------------------------------------------------------
 
     /// Jobs that may have a task placed now, the most important first.
-    fn order(&self, aims: &Aims, now: Now) -> Vec<JobId> {
+    fn order(&self, now: Now) -> Vec<JobId> {
         let mut v: Vec<_> = self
             .jobs
             .values()
@@ -367,7 +370,7 @@
             })
             .filter(|j| j.wire.kind != Kind::Gang || j.placed.is_empty())
             .map(|j| {
-                let (late, due) = j.urgency(aims, now);
+                let (late, due) = j.urgency(now);
                 (std::cmp::Reverse(j.wire.priority), late, due, j.created, j.id)
             })
             .collect();
@@ -384,7 +387,7 @@
         {
             return;
         }
-        let ids = self.order(&ctx.cfg.aims, ctx.now);
+        let ids = self.order(ctx.now);
         if ids.is_empty() {
             return;
         }
@@ -416,9 +419,9 @@
                 count,
                 zone_room,
                 make_room: false,
-                pressing: j.pressing(&ctx.cfg.aims, ctx.now),
-                anywhere: j.anywhere(&ctx.cfg.aims, ctx.now),
-                line: j.line(&ctx.cfg.aims, ctx.now),
+                pressing: j.pressing(ctx.now),
+                anywhere: j.anywhere(ctx.now),
+                line: j.line(ctx.now),
             });
         }
         if items.is_empty() {
@@ -670,6 +673,7 @@
             let p = Placement {
                 attempt: w.attempt,
                 machine: ctx.names.machine(&c.offer.machine),
+                part: c.seat,
                 session: c.offer.session,
                 zone: ZoneIdx(c.offer.zone),
                 phase: Phase::Decided,
@@ -848,7 +852,7 @@
             session: None,
         };
         let over = matches!(e.phase, Phase::Exited(..) | Phase::Gone);
-        let known = self.jobs.get(&id).and_then(|j| j.placed.get(&e.task)).is_some_and(|p| {
+        let known = self.jobs.get(&id).and_then(|j| j.placed.get(e.task)).is_some_and(|p| {
             p.attempt.0 == e.attempt && ctx.names.machine_name(p.machine) == e.machine
         });
         if !known {
@@ -869,22 +873,17 @@
         }
         let j = self.jobs.get_mut(&id)?;
         if !over {
-            if let Some(p) = j.placed.get_mut(&e.task) {
-                p.phase = e.phase;
-                p.adopted &= e.phase == Phase::Decided;
-            }
+            j.placed.set_phase(e.task, e.phase);
             // A gang that is to save must be stopped whole, and soon.
             if e.phase == Phase::On(TaskState::Saving) && j.wire.kind == Kind::Gang {
                 let grace = j.wire.save_s + 2.0;
-                for p in j.placed.values_mut().filter(|p| p.stop.is_none()) {
-                    p.stop = Some((grace, 0));
-                }
+                j.placed.stop_rest(grace);
                 self.next_resend = now;
                 self.resend(ctx);
             }
             return None;
         }
-        let p = j.placed.remove(&e.task)?;
+        let p = j.placed.remove(e.task)?;
         if let Phase::Exited(Why::Done, _) = e.phase {
             if j.wire.kind != Kind::Service && !j.cancelled {
                 j.errors = 0;
@@ -906,9 +905,7 @@
         j.give_back(e.task);
         if j.wire.kind == Kind::Gang {
             // Won whole or not at all: the rest of the attempt stops.
-            for p in j.placed.values_mut().filter(|p| p.stop.is_none()) {
-                p.stop = Some((0.0, 0));
-            }
+            j.placed.stop_rest(0.0);
             self.next_resend = now;
         }
         let empty_leftover = j.cancelled && j.placed.is_empty();
@@ -1008,9 +1005,7 @@
                 j.cancelled = true;
                 // What it had done counts no more; its machines may forget it.
                 let acks = std::mem::take(&mut j.unfolded);
-                for p in j.placed.values_mut() {
-                    p.stop = Some((0.0, 0));
-                }
+                j.placed.stop_all();
                 let s = j.state();
                 let empty = j.placed.is_empty();
                 for r in std::mem::take(&mut j.cancel_reqs) {
@@ -1185,15 +1180,14 @@
         }
         for j in self.jobs.values_mut() {
             let id = j.id;
-            for (&task, p) in &mut j.placed {
-                let machine = ctx.names.machine_name(p.machine);
-                let seat = ctx.seat_of_machine(machine);
+            for (task, p) in j.placed.iter_mut() {
+                let seat = p.part;
                 let renew = fresh[seat.0 as usize];
                 let attempt = p.attempt.0;
                 if let Some((grace_s, sent)) = &mut p.stop {
                     if renew || now >= *sent + RESEND_MS {
                         *sent = now;
-                        let machine = machine.to_string();
+                        let machine = ctx.names.machine_name(p.machine).to_string();
                         let what = AttemptRef {
                             job: id.0,
                             task,
@@ -1217,7 +1211,7 @@
                     e.1.push(Pick {
                         task,
                         attempt,
-                        machine: machine.to_string(),
+                        machine: ctx.names.machine_name(p.machine).to_string(),
                         session: p.session,
                     });
                 }
@@ -1286,7 +1280,7 @@
                 count: j.pending(),
                 zone_room: j.zone_room(&ctx.names.zones),
                 waited_ms: ctx.now.saturating_sub(j.created),
-                pressing: j.pressing(&ctx.cfg.aims, ctx.now),
+                pressing: j.pressing(ctx.now),
             })
             .collect()
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -92,6 +92,8 @@
     pub direct_after: Now,
     /// The lease ran out by our count; whatever ran there is gone.
     pub lapsed: bool,
+    /// When its part next looks at it though nothing was heard.
+    pub due: Now,
     load: Load,
 }
 
@@ -147,6 +149,7 @@
             direct: None,
             direct_after: 0,
             lapsed: false,
+            due: now,
             load: Load::default(),
         }
     }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -2,32 +2,13 @@
 use crate::bits::{Bits, CHUNK};
 use crate::ids::{Attempt, JobId, MachineIdx, Now, ZoneIdx};
 use crate::names::Shape;
-use leaddeal_wire::mesh::{self, Phase};
+use crate::placed::Placed;
+use leaddeal_wire::mesh;
 use leaddeal_wire::settings::Objective;
 use leaddeal_wire::user::{self, JobState, Kind, Status};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-#[derive(Clone, Debug)]
-pub struct Placement {
-    pub attempt: Attempt,
-    pub machine: MachineIdx,
-    pub session: u64,
-    pub zone: ZoneIdx,
-    pub phase: Phase,
-    /// Number of the decision that holds it.
-    pub round: u64,
-    pub placed_at: Now,
-    /// When `Place` was last sent.
-    pub sent_at: Now,
-    /// Grace and the time at which `Stop` was last sent.
-    pub stop: Option<(f64, Now)>,
-    /// From a decision of an older epoch, and not seen on its machine yet.
-    pub adopted: bool,
-    /// Team with a limit, and what the task takes of it.
-    pub team: Option<(u8, u64, u64)>,
-}
-
 /// A service asked for in vain for so long may stand in the way of GPU work.
 const LONG_REFUSED_MS: u64 = 9000;
 
@@ -43,7 +24,9 @@
     pub done: Bits,
     next_fresh: u32,
     again: BTreeSet<u32>,
-    pub placed: BTreeMap<u32, Placement>,
+    pub placed: Placed,
+    /// Latest starts that meet its aims, in milliseconds from the submission, in order.
+    starts: Vec<f64>,
     /// Not asked for before this time.
     pub not_before: Now,
     pub refusals: u32,
@@ -97,6 +80,26 @@
     }
 }
 
+impl Aims {
+    /// The latest starts that meet what is asked of a job, in milliseconds from its submission.
+    fn starts(&self, wire: &user::Job) -> Vec<f64> {
+        let none = ClassAims::default();
+        let a = self.by_class.get(&wire.class).unwrap_or(&none);
+        let run = wire.estimate_s * 1200.0;
+        let mut starts: Vec<f64> = a.start.clone();
+        starts.extend(a.finish.iter().map(|f| f - run));
+        if let Some(d) = wire.deadline_s {
+            let d = d * 1000.0;
+            if a.deadline.is_empty() {
+                starts.push(d - run);
+            }
+            starts.extend(a.deadline.iter().map(|t| d * t - run));
+        }
+        starts.sort_by(f64::total_cmp);
+        starts
+    }
+}
+
 pub fn wire_shape(j: &user::Job) -> mesh::Shape {
     let up = |v: f64| (v * 1000.0 - 1e-6).ceil().max(0.0) as u64;
     mesh::Shape {
@@ -116,16 +119,17 @@
 }
 
 impl Job {
-    pub fn new(id: JobId, wire: user::Job, shape: Shape, created: Now) -> Job {
+    pub fn new(id: JobId, wire: user::Job, shape: Shape, created: Now, aims: &Aims) -> Job {
         Job {
             id,
-            wire,
             shape,
             created,
             done: Bits::default(),
             next_fresh: 0,
             again: BTreeSet::new(),
-            placed: BTreeMap::new(),
+            placed: Placed::default(),
+            starts: aims.starts(&wire),
+            wire,
             not_before: 0,
             refusals: 0,
             refused_since: None,
@@ -166,36 +170,23 @@
             deadline_s: None,
         };
         let shape = names.shape(&Arc::new(wire_shape(&wire)));
-        let mut j = Job::new(id, wire, shape, 0);
+        let mut j = Job::new(id, wire, shape, 0, &Aims::default());
         j.cancelled = true;
         j
     }
 
     /// Which of its aims come next: how many were missed already, and the latest start that
     /// meets the next one. What is late makes way for what can still be in time.
-    pub fn urgency(&self, aims: &Aims, now: Now) -> (u8, Now) {
-        let none = ClassAims::default();
-        let a = aims.by_class.get(&self.wire.class).unwrap_or(&none);
-        let run = self.wire.estimate_s * 1200.0;
-        let mut starts: Vec<f64> = a.start.clone();
-        starts.extend(a.finish.iter().map(|f| f - run));
-        if let Some(d) = self.wire.deadline_s {
-            let d = d * 1000.0;
-            if a.deadline.is_empty() {
-                starts.push(d - run);
-            }
-            starts.extend(a.deadline.iter().map(|t| d * t - run));
-        }
-        starts.sort_by(f64::total_cmp);
+    pub fn urgency(&self, now: Now) -> (u8, Now) {
         let age = now.saturating_sub(self.created) as f64;
-        let missed = starts.iter().filter(|&&s| s < age).count();
-        let next = starts.get(missed).copied().unwrap_or(600_000.0);
+        let missed = self.starts.partition_point(|&s| s < age);
+        let next = self.starts.get(missed).copied().unwrap_or(600_000.0);
         (missed as u8, self.created + next.max(0.0) as u64)
     }
 
     /// More than a third of the time to its next aim is over.
-    pub fn pressing(&self, aims: &Aims, now: Now) -> bool {
-        let (_, due) = self.urgency(aims, now);
+    pub fn pressing(&self, now: Now) -> bool {
+        let (_, due) = self.urgency(now);
         now.saturating_sub(self.created) > due.saturating_sub(self.created) / 3
     }
 
@@ -206,8 +197,8 @@
 
     /// A service that is late and finds no place may use any: people notice it sooner than GPU
     /// work that waits, and it is moved out of the way later.
-    pub fn anywhere(&self, aims: &Aims, now: Now) -> bool {
-        let late = self.urgency(aims, now).0 > 0;
+    pub fn anywhere(&self, now: Now) -> bool {
+        let late = self.urgency(now).0 > 0;
         let long = self.refused_since.is_some_and(|t| now >= t + LONG_REFUSED_MS);
         self.wire.kind == Kind::Service && late && long
     }
@@ -246,8 +237,8 @@
     }
 
     /// A gang's place among those that wait.
-    pub fn line(&self, aims: &Aims, now: Now) -> Option<mesh::Line> {
-        let (late, due) = self.urgency(aims, now);
+    pub fn line(&self, now: Now) -> Option<mesh::Line> {
+        let (late, due) = self.urgency(now);
         (self.wire.kind == Kind::Gang).then(|| mesh::Line {
             late,
             due_ms: due.saturating_sub(now),
@@ -281,7 +272,7 @@
     }
 
     pub fn pending(&self) -> u32 {
-        self.wire.tasks - self.done.len() - self.placed.len() as u32
+        self.wire.tasks - self.done.len() - self.placed.len()
     }
 
     /// Takes the next task to be placed.
@@ -292,7 +283,7 @@
         while self.next_fresh < self.wire.tasks {
             let t = self.next_fresh;
             self.next_fresh += 1;
-            if !self.done.get(t) && !self.placed.contains_key(&t) {
+            if !self.done.get(t) && self.placed.get(t).is_none() {
                 return Some(t);
             }
         }
@@ -318,14 +309,7 @@
     }
 
     pub fn state(&self) -> JobState {
-        let running = self
-            .placed
-            .values()
-            .filter(|p| {
-                use leaddeal_wire::worker::TaskState as T;
-                matches!(p.phase, Phase::On(T::Running | T::Saving))
-            })
-            .count() as u32;
+        let running = self.placed.running();
         let status = match (self.cancelled, running) {
             (true, _) => Status::Cancelled,
             (false, 0) => Status::Queued,
@@ -337,17 +321,12 @@
     /// How many more tasks each zone may take, given those that may still be in one.
     pub fn zone_room(&self, zones: &[String]) -> Vec<u32> {
         let n = self.wire.tasks;
-        let mut used = vec![0u32; zones.len()];
-        for p in self.placed.values() {
-            if let Some(u) = used.get_mut(p.zone.0 as usize) {
-                *u += 1;
-            }
-        }
-        let any = used.iter().any(|&u| u > 0);
+        let any = !self.placed.is_empty();
         zones
             .iter()
-            .zip(&used)
-            .map(|(z, &u)| {
+            .enumerate()
+            .map(|(i, z)| {
+                let u = self.placed.in_zone(i);
                 if self.wire.zone.as_ref().is_some_and(|w| w != z) {
                     return 0;
                 }
@@ -381,21 +360,20 @@
             one_zone: true,
             ..j.wire
         };
-        let none = Aims::default();
-        assert!(!j.line(&none, 0).expect("a gang's").stands, "asks for the first time");
+        assert!(!j.line(0).expect("a gang's").stands, "asks for the first time");
         let room = [4, 4, 4];
         j.refusals = 1;
         j.aim_at(&[0, 2, 1], &room);
         assert_eq!(j.target, Some(ZoneIdx(1)));
         j.aim_at(&[3, 1, 0], &room);
         assert_eq!(j.target, Some(ZoneIdx(1)), "what is kept for it there is not kept in vain");
-        assert!(j.line(&none, 0).expect("a gang's").stands);
+        assert!(j.line(0).expect("a gang's").stands);
         j.aim_at(&[3, 0, 0], &room);
         assert_eq!(j.target, Some(ZoneIdx(0)));
         j.wire.tasks = 1;
         j.aim_at(&[0, 0, 0], &room);
         assert_eq!(j.target, None, "a lone task needs no zone to itself");
-        assert!(!j.line(&none, 0).expect("a gang's").stands);
+        assert!(!j.line(0).expect("a gang's").stands);
     }
 
     /// Found by counting: with a fleet that was booting, asking in vain took most of the time.
@@ -433,9 +411,9 @@
             times: None,
         };
         j.wire.class = "c".into();
-        let aims = Aims::new(&[objective(80.0), objective(350.0)]);
+        j.starts = Aims::new(&[objective(80.0), objective(350.0)]).starts(&j.wire);
         j.created = 1_000_000;
-        assert_eq!(j.urgency(&aims, 1_050_000), (0, 1_080_000));
-        assert_eq!(j.urgency(&aims, 1_100_000), (1, 1_350_000));
+        assert_eq!(j.urgency(1_050_000), (0, 1_080_000));
+        assert_eq!(j.urgency(1_100_000), (1, 1_350_000));
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod names;
 pub mod node;
 pub mod part;
+pub mod placed;
 pub mod preemption;
 pub mod seat;
 pub mod teams;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -525,6 +525,14 @@
                     o.part.base = Some(newest);
                 }
             }
+            SeatMsg::MachinesAgain => {
+                if from == BUYER_SEAT {
+                    o.part.tell_all();
+                    for msg in o.part.inventory(&c) {
+                        c.send(to, from, msg);
+                    }
+                }
+            }
             SeatMsg::Released { machine } => {
                 if from == BUYER_SEAT {
                     o.part.released(&mut c, &machine);
@@ -1167,7 +1175,9 @@
             if o.coordinator.ready() {
                 c.send(seat, BUYER_SEAT, SeatMsg::Lacks { lacks });
             }
-            c.send(seat, BUYER_SEAT, SeatMsg::Machines { machines });
+            for msg in machines {
+                c.send(seat, BUYER_SEAT, msg);
+            }
         }
     }
 
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -1,23 +1,26 @@
 //! A seat's machines: holds room, offers it, starts what was decided, and proves what is gone.
+use crate::buyer::BUYER_SEAT;
 use crate::fleet::{Key, Machine, StopWish, TaskOn};
 use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat};
 use crate::names::{Names, Room, Shape};
 use crate::node::Ctx;
 use crate::seat::at_least;
-use leaddeal_wire::mesh::{AttemptRef, MachineInfo, Phase, Pick, SeatMsg, TaskEvent};
+use leaddeal_wire::mesh::{AttemptRef, Phase, Pick, SeatMsg, TaskEvent};
 use leaddeal_wire::user::Priority;
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 mod claims;
 mod line;
 mod offer;
 mod room;
+mod showcase;
 mod stock;
 
 use claims::Claims;
 use line::InLine;
 use offer::Rank;
+use showcase::{Showcase, Shown};
 use stock::{Place, Stock};
 
 /// Answers to a report name at most this many commands.
@@ -27,6 +30,10 @@
 const TELL_MS: u64 = 800;
 /// So much earlier than the others those with the most important work are told.
 const TOP_FIRST_MS: u64 = 300;
+/// An end that was not noted is told again after this time.
+const RETELL_MS: u64 = 2000;
+/// A machine that is gone is forgotten so long after its last report.
+const FORGET_MS: u64 = 300_000;
 /// What nobody waits for is told together, this often.
 const LAZY_MS: u64 = 300;
 
@@ -49,6 +56,12 @@
     pub machines: BTreeMap<MachineIdx, Machine>,
     /// Machines up to this name are the operator's own.
     pub base: Option<String>,
+    /// When to look whether a machine's lease is over, or it may be forgotten: one entry each,
+    /// at `Machine::due`.
+    due: BTreeSet<(Now, MachineIdx)>,
+    /// Machines with an end that was told, and when to tell it again unless it was noted.
+    retell: VecDeque<(Now, MachineIdx)>,
+    showcase: Showcase,
     holds: BTreeMap<MachineIdx, Vec<Hold>>,
     claims: Claims,
     /// Of the machines that are not `dirty`; `reindex` brings it up to date.
@@ -110,6 +123,9 @@
             since: now,
             machines: BTreeMap::new(),
             base: None,
+            due: BTreeSet::new(),
+            retell: VecDeque::new(),
+            showcase: Showcase::default(),
             holds: BTreeMap::new(),
             claims: Claims::default(),
             stock: Stock::default(),
@@ -130,8 +146,21 @@
 
     fn machine(&mut self, m: MachineIdx) -> &mut Machine {
         // Not heard of yet: an owner before us may have granted its worker a lease until now.
-        let since = self.since;
-        self.machines.entry(m).or_insert_with(|| Machine::new(since))
+        let (since, due) = (self.since, &mut self.due);
+        self.machines.entry(m).or_insert_with(|| {
+            let new = Machine::new(since);
+            due.insert((new.due, m));
+            new
+        })
+    }
+
+    /// Looks at the machine at that time, if not earlier.
+    fn look_at(&mut self, idx: MachineIdx, at: Now) {
+        if let Some(m) = self.machines.get_mut(&idx).filter(|m| at < m.due) {
+            self.due.remove(&(m.due, idx));
+            m.due = at;
+            self.due.insert((at, idx));
+        }
     }
 
     /// Puts the machines that changed where requests find them.
@@ -241,6 +270,8 @@
             }
             m.recount();
         }
+        let over_at = m.lease_over_at(ctx.cfg.worker_lease_ms);
+        self.look_at(idx, over_at);
         self.freed |= freed;
         self.dirty.insert(idx);
     }
@@ -332,6 +363,9 @@
         }
         if epoch > *known {
             *known = epoch;
+            if seat == BUYER_SEAT {
+                self.showcase.start_again();
+            }
             self.release_holds(|h| h.seat == seat);
             self.dirty.extend(self.machines.keys().copied());
         }
@@ -455,7 +489,7 @@
                 let Some(epoch) = ctx.owner(seat).map(|o| o.epoch) else {
                     continue;
                 };
-                let again = t.over() && now >= t.told_at + 2000;
+                let again = t.over() && now >= t.told_at + RETELL_MS;
                 if t.told == Some((epoch, t.phase)) && !again {
                     continue;
                 }
@@ -465,6 +499,9 @@
                 }
                 t.told = Some((epoch, t.phase));
                 t.told_at = now;
+                if t.over() {
+                    self.retell.push_back((now + RETELL_MS, idx));
+                }
                 events.entry(seat.0).or_default().push(TaskEvent {
                     job: k.0 .0,
                     task: k.1,
@@ -524,25 +561,12 @@
     pub fn tick(&mut self, ctx: &mut Ctx) {
         self.move_replicas(ctx);
         let now = ctx.now;
-        let lease = ctx.cfg.worker_lease_ms;
-        let mut drop = Vec::new();
-        for (&idx, m) in &mut self.machines {
-            if !m.lapsed && !m.released && now > m.lease_over_at(lease) {
-                m.lapsed = true;
-                m.all_gone();
-                let n = ctx.names.machine_name(idx).to_string();
-                ctx.out.log(1, "machine_lost", || n);
-                self.dirty.insert(idx);
-            }
-            if m.tasks.values().any(|t| t.over() && !t.acked && now >= t.told_at + 2000) {
-                self.dirty.insert(idx);
-            }
-            if (m.released || m.lapsed) && m.tasks.is_empty() && now > m.heard + 300_000 {
-                drop.push(idx);
-            }
+        while let Some(&(at, idx)) = self.due.first().filter(|d| d.0 < now) {
+            self.due.remove(&(at, idx));
+            self.due_look(ctx, idx);
         }
-        for idx in drop {
-            self.machines.remove(&idx);
+        while let Some((_, idx)) = self.retell.pop_front_if(|r| r.0 <= now) {
+            self.dirty.insert(idx);
         }
         // Holds end by decision. If none came, it got lost: ask for it.
         if now >= self.asked_at + 2000 {
@@ -555,29 +579,54 @@
         }
     }
 
-    pub fn inventory(&self, ctx: &Ctx) -> Vec<MachineInfo> {
+    /// The lease may be over by now, or the machine long gone.
+    fn due_look(&mut self, ctx: &mut Ctx, idx: MachineIdx) {
         let now = ctx.now;
-        let lease = at_least(ctx.cfg.worker_lease_ms);
-        self.machines
-            .iter()
-            .filter(|(_, m)| !m.released && m.kind.is_some())
-            .map(|(&idx, m)| {
-                let held = self.holds.contains_key(&idx);
-                let idle = !held && m.tasks.values().all(TaskOn::over);
-                MachineInfo {
-                    machine: ctx.names.machine_name(idx).to_string(),
-                    type_name: m
-                        .kind
-                        .map(|k| ctx.names.catalog[k.0 as usize].name.clone())
-                        .unwrap_or_default(),
-                    zone: m.zone.map(|z| ctx.names.zones[z.0 as usize].clone()).unwrap_or_default(),
+        let Some(m) = self.machines.get_mut(&idx) else { return };
+        let mut next = m.lease_over_at(ctx.cfg.worker_lease_ms);
+        if !m.lapsed && !m.released && now > next {
+            m.lapsed = true;
+            m.all_gone();
+            let n = ctx.names.machine_name(idx).to_string();
+            ctx.out.log(1, "machine_lost", || n);
+            self.dirty.insert(idx);
+        }
+        if m.released || m.lapsed {
+            let forget_at = m.heard + FORGET_MS;
+            if m.tasks.is_empty() && now > forget_at {
+                self.machines.remove(&idx);
+                self.showcase.gone(idx);
+                return;
+            }
+            next = forget_at.max(now + 10_000);
+        }
+        m.due = next;
+        self.due.insert((next, idx));
+    }
+
+    /// What changed of the machines, for the buyer.
+    pub fn inventory(&mut self, ctx: &Ctx) -> Vec<SeatMsg> {
+        let (now, lease) = (ctx.now, at_least(ctx.cfg.worker_lease_ms));
+        for (&idx, m) in &self.machines {
+            let shown = m.kind.filter(|_| !m.released).map(|kind| {
+                let idle = !self.holds.contains_key(&idx) && m.tasks.values().all(TaskOn::over);
+                Shown {
+                    kind,
+                    zone: m.zone,
                     spot: m.spot,
-                    idle_ms: idle.then(|| now.saturating_sub(m.busy_at)),
+                    idle_since: idle.then_some(m.busy_at),
                     dead: m.lapsed && now > m.heard + lease,
                     draining: m.draining,
                 }
-            })
-            .collect()
+            });
+            self.showcase.set(idx, shown);
+        }
+        self.showcase.changes(now, ctx.names)
+    }
+
+    /// The buyer lacks what was told before.
+    pub fn tell_all(&mut self) {
+        self.showcase.start_again();
     }
 
     /// Sets an idle machine aside. False: it has work, or may get some.
--- a/crates/testkit/src/tally.rs
+++ b/crates/testkit/src/tally.rs
@@ -36,6 +36,7 @@
         SeatMsg::TeamGrant { .. } => "mesh TeamGrant",
         SeatMsg::Lacks { .. } => "mesh Lacks",
         SeatMsg::Machines { .. } => "mesh Machines",
+        SeatMsg::MachinesAgain => "mesh MachinesAgain",
         SeatMsg::Base { .. } => "mesh Base",
         SeatMsg::Drain { .. } => "mesh Drain",
         SeatMsg::Drained { .. } => "mesh Drained",
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -187,7 +187,7 @@
     pub type_name: String,
     pub zone: String,
     pub spot: bool,
-    /// How long it has had nothing to do; none: busy.
+    /// How long it has had nothing to do, when this was sent; none: busy.
     pub idle_ms: Option<u64>,
     /// Not heard from for long, or known to be broken: worth nothing.
     pub dead: bool,
@@ -268,9 +268,15 @@
     Lacks {
         lacks: Vec<Lack>,
     },
+    /// What changed since the message with the serial number before; with `first`, all there is.
     Machines {
+        serial: u64,
+        first: bool,
         machines: Vec<MachineInfo>,
+        gone: Vec<String>,
     },
+    /// Back: a message was lost, all is to be told again.
+    MachinesAgain,
     /// Machines up to this name are the operator's own and stay.
     Base {
         newest: String,
