--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer.rs
@@ -1,14 +1,12 @@
 //! Rents and returns machines for all parts, from the owner of one fixed seat.
-use crate::ids::{Epoch, Now, Seat};
+use crate::ctx::{BuyerOp, Ctx, OpKind};
+use crate::ids::{Epoch, Now, Seat, BUYER_SEAT};
 use crate::io::{CloudCall, CloudResult};
-use crate::names::{Names, Room};
-use crate::node::{Ctx, OpKind};
+use crate::names::{older, Names, Room};
 use leaddeal_wire::cloud::{Listed, ListedStatus, Rent};
 use leaddeal_wire::mesh::{Lack, MachineInfo, SeatMsg};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// The seat whose owner buys for all.
-pub const BUYER_SEAT: Seat = Seat(0);
 const LIST_MS: u64 = 3000;
 const PLAN_MS: u64 = 1000;
 /// A refusal says that there is nothing to be had for about this long.
@@ -149,11 +147,6 @@
     }
 }
 
-/// Machines are named in the order of their creation.
-pub fn older(machine: &str, newest: &str) -> bool {
-    (machine.len(), machine) <= (newest.len(), newest)
-}
-
 impl Buyer {
     pub fn cloud(&mut self, ctx: &mut Ctx, what: BuyerOp, result: CloudResult) {
         let now = ctx.now;
@@ -488,10 +481,3 @@
         }
     }
 }
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BuyerOp {
-    List,
-    Rent,
-    Release,
-}
--- /dev/null
+++ b/crates/core/src/coordinator/mod.rs
@@ -0,0 +1,440 @@
+//! A seat's jobs: asks for offers, writes the choice under the epoch, then says yes and no.
+use crate::ctx::Ctx;
+use crate::ids::{Attempt, Epoch, JobId, Negotiation, Now, Seat};
+use crate::jobs::{DoneOn, Job};
+use crate::keys;
+use leaddeal_wire::mesh::{
+    AttemptRef, Lack, Offer, Phase, Pick, SeatMsg, Shape as WireShape, TaskEvent,
+};
+use leaddeal_wire::state::{Cond, Item, Txn};
+use leaddeal_wire::user::{Kind, Status};
+use leaddeal_wire::worker::{TaskState, Why};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+mod finish;
+mod limits;
+mod load;
+mod round;
+
+/// Answers to a request for offers are waited for no longer than this.
+pub const OFFERS_MS: u64 = 2000;
+const ITEMS: usize = 14;
+/// A request names at most this many kinds of GPU work.
+const GPU_KINDS: usize = 16;
+const RESEND_MS: u64 = 2000;
+const FOLD_MS: u64 = 300;
+
+/// What a part is told yes to, for a job: its shape and the picks.
+type Yes = (Arc<WireShape>, Vec<Pick>);
+
+#[derive(Debug)]
+enum Load {
+    Decisions,
+    Jobs,
+    Runs,
+    Ready,
+}
+
+#[derive(Debug)]
+struct Talk {
+    id: Negotiation,
+    items: Vec<(JobId, u32)>,
+    asked: Vec<Seat>,
+    waiting: BTreeSet<Seat>,
+    offers: Vec<(Seat, Offer)>,
+    /// Items for which a part is making room.
+    coming: BTreeSet<u16>,
+    started: Now,
+}
+
+#[derive(Debug)]
+struct Choice {
+    job: JobId,
+    task: u32,
+    seat: Seat,
+    offer: Offer,
+}
+
+#[derive(Debug)]
+struct Writing {
+    key: String,
+    round: u64,
+    attempt: Attempt,
+    choices: Vec<Choice>,
+    asked: Vec<Seat>,
+    negotiation: Negotiation,
+    txn: Txn,
+    /// An earlier try may have been executed, or may yet be.
+    unsure: bool,
+    retry_at: Option<Now>,
+}
+
+#[derive(Debug)]
+struct Fold {
+    chunks: Vec<(JobId, Vec<u32>)>,
+    acks: Vec<(JobId, Vec<DoneOn>)>,
+    finals: Vec<(JobId, Status)>,
+    rounds: Vec<String>,
+}
+
+#[derive(Debug)]
+pub struct Coordinator {
+    pub seat: Seat,
+    pub epoch: Epoch,
+    load: Load,
+    loading: bool,
+    retry_load_at: Now,
+    after: Option<String>,
+    decisions: Vec<Item>,
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Jobs that are over, with their final state.
+    pub closed: HashMap<JobId, (Status, u32)>,
+    talk: Option<Talk>,
+    writing: Option<Writing>,
+    next_talk: u64,
+    round: u64,
+    rounds: BTreeMap<u64, (String, u32)>,
+    finished_rounds: Vec<String>,
+    fold: Option<Fold>,
+    fold_after: Now,
+    /// Revision of the list of jobs that was loaded.
+    pub loaded_from: u64,
+    pub watch_from: u64,
+    pub watching: bool,
+    pub watch_after: Now,
+    /// Told to hand the seat over: no new rounds.
+    pub leaving: bool,
+    part_epochs: Vec<Epoch>,
+    next_resend: Now,
+    /// Grants by team, with the epoch of the team's seat.
+    grants: BTreeMap<u8, (Epoch, u64, u64)>,
+    team_serial: u64,
+    team_at: Now,
+}
+
+impl Coordinator {
+    pub fn new(seat: Seat, epoch: Epoch, seats: usize) -> Coordinator {
+        Coordinator {
+            seat,
+            epoch,
+            load: Load::Decisions,
+            loading: false,
+            retry_load_at: 0,
+            after: None,
+            decisions: Vec::new(),
+            jobs: BTreeMap::new(),
+            closed: HashMap::new(),
+            talk: None,
+            writing: None,
+            next_talk: 0,
+            round: 0,
+            rounds: BTreeMap::new(),
+            finished_rounds: Vec::new(),
+            fold: None,
+            fold_after: 0,
+            loaded_from: 0,
+            watch_from: 0,
+            watching: false,
+            watch_after: 0,
+            leaving: false,
+            part_epochs: vec![Epoch(0); seats],
+            next_resend: 0,
+            grants: BTreeMap::new(),
+            team_serial: 0,
+            team_at: 0,
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        matches!(self.load, Load::Ready)
+    }
+
+    pub fn quiet(&self) -> bool {
+        self.talk.is_none()
+            && self.writing.is_none()
+            && self.fold.is_none()
+            && self.jobs.values().all(|j| j.finishing.is_none())
+    }
+
+    fn mine(&self) -> Cond {
+        Cond { key: keys::seat_key(self.seat), version: self.epoch.0 }
+    }
+
+    fn next_round_id(&mut self) -> u64 {
+        self.round += 1;
+        self.round
+    }
+
+    fn round_less(&mut self, round: u64) {
+        if let Some(r) = self.rounds.get_mut(&round) {
+            r.1 = r.1.saturating_sub(1);
+            if r.1 == 0 {
+                let key = std::mem::take(&mut r.0);
+                self.rounds.remove(&round);
+                self.finished_rounds.push(key);
+            }
+        }
+    }
+
+    pub fn handle(&mut self, ctx: &mut Ctx, from: Seat, msg: SeatMsg) {
+        match msg {
+            SeatMsg::Offers { negotiation, offers, coming } => {
+                let current = self
+                    .talk
+                    .as_mut()
+                    .filter(|t| t.id.0 == negotiation)
+                    .is_some_and(|t| t.waiting.remove(&from));
+                if let Some(t) = self.talk.as_mut().filter(|_| current) {
+                    t.coming.extend(coming);
+                    t.offers.extend(offers.into_iter().map(|o| (from, o)));
+                } else {
+                    // Too late: a no is due once the negotiation is over.
+                    self.answer_decision(ctx, from, negotiation);
+                }
+                self.check_talk(ctx);
+            }
+            SeatMsg::TeamGrant { serial, granted } if serial == self.team_serial => {
+                if let Some(o) = ctx.owner(from) {
+                    for g in granted {
+                        self.grants.insert(g.team, (o.epoch, g.cpu, g.gpu));
+                    }
+                    ctx.wake = true;
+                }
+            }
+            SeatMsg::AskDecision { negotiation } => self.answer_decision(ctx, from, negotiation),
+            SeatMsg::Room { priority } => {
+                for j in self.jobs.values_mut().filter(|j| j.wire.priority >= priority) {
+                    j.room_somewhere(ctx.now);
+                }
+                ctx.wake = true;
+            }
+            SeatMsg::Events { events } if self.ready() => {
+                let mut over = Vec::new();
+                for e in events {
+                    over.extend(self.event(ctx, from, e));
+                }
+                // The participant keeps telling until it is told to forget.
+                if !over.is_empty() {
+                    ctx.send(self.seat, from, SeatMsg::Forget { what: over });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn answer_decision(&mut self, ctx: &mut Ctx, from: Seat, negotiation: u64) {
+        let open = self.talk.as_ref().is_some_and(|t| t.id.0 == negotiation)
+            || self.writing.as_ref().is_some_and(|w| w.negotiation.0 == negotiation);
+        if !open {
+            ctx.send(self.seat, from, SeatMsg::Close { negotiation });
+        }
+    }
+
+    /// Returns the attempt if the participant may forget it.
+    fn event(&mut self, ctx: &mut Ctx, from: Seat, e: TaskEvent) -> Option<AttemptRef> {
+        let now = ctx.now;
+        let id = JobId(e.job);
+        let what = AttemptRef {
+            job: e.job,
+            task: e.task,
+            attempt: e.attempt,
+            machine: e.machine.clone(),
+            session: None,
+        };
+        let over = matches!(e.phase, Phase::Exited(..) | Phase::Gone);
+        let known = self.jobs.get(&id).and_then(|j| j.placed.get(e.task)).is_some_and(|p| {
+            p.attempt.0 == e.attempt && ctx.names.machine_name(p.machine) == e.machine
+        });
+        if !known {
+            // Already noted as done, but not durably yet: the worker must not forget it.
+            let unfolded =
+                self.jobs.get(&id).is_some_and(|j| {
+                    j.unfolded.iter().any(|u| u.0 == e.task && u.1 .0 == e.attempt)
+                }) || self.fold.as_ref().is_some_and(|f| {
+                    f.acks.iter().any(|(j, l)| {
+                        *j == id && l.iter().any(|u| u.0 == e.task && u.1 .0 == e.attempt)
+                    })
+                });
+            if over {
+                return (!unfolded).then_some(what);
+            }
+            ctx.send(self.seat, from, SeatMsg::Stop { what, grace_s: 0.0 });
+            return None;
+        }
+        let j = self.jobs.get_mut(&id)?;
+        if !over {
+            j.placed.set_phase(e.task, e.phase);
+            // A gang that is to save must be stopped whole, and soon.
+            if e.phase == Phase::On(TaskState::Saving) && j.wire.kind == Kind::Gang {
+                let grace = j.wire.save_s + 2.0;
+                j.placed.stop_rest(grace);
+                self.next_resend = now;
+                self.resend(ctx);
+            }
+            return None;
+        }
+        let p = j.placed.remove(e.task)?;
+        if let Phase::Exited(Why::Done, _) = e.phase {
+            if j.wire.kind != Kind::Service && !j.cancelled {
+                j.errors = 0;
+                j.set_done(e.task);
+                j.unfolded.push((e.task, p.attempt, p.machine, p.round));
+                ctx.wake = true;
+                return None;
+            }
+        }
+        match e.phase {
+            Phase::Exited(Why::Error | Why::Other | Why::Unknown, _) => {
+                j.errors += 1;
+                let wait = 500u64 << j.errors.min(7);
+                j.not_before = now + if j.errors < 3 { 200 } else { wait };
+            }
+            Phase::Exited(Why::Full | Why::Busy, _) => j.not_before = now + 300,
+            _ => j.not_before = j.not_before.min(now),
+        }
+        j.give_back(e.task);
+        if j.wire.kind == Kind::Gang {
+            // Won whole or not at all: the rest of the attempt stops.
+            j.placed.stop_rest(0.0);
+            self.next_resend = now;
+        }
+        let empty_leftover = j.cancelled && j.placed.is_empty();
+        self.round_less(p.round);
+        if empty_leftover {
+            self.drop_cancelled(id);
+        }
+        ctx.wake = true;
+        Some(what)
+    }
+
+    fn resend(&mut self, ctx: &mut Ctx) {
+        if !self.ready() || ctx.now < self.next_resend {
+            return;
+        }
+        self.next_resend = ctx.now + 500;
+        let now = ctx.now;
+        let mut yes: BTreeMap<(Seat, JobId, bool), Yes> = BTreeMap::new();
+        let mut stops = Vec::new();
+        let mut fresh = Vec::new();
+        for s in ctx.seats() {
+            let e = ctx.owner(s).map_or(Epoch(0), |o| o.epoch);
+            fresh.push(e != self.part_epochs[s.0 as usize]);
+            self.part_epochs[s.0 as usize] = e;
+        }
+        for j in self.jobs.values_mut() {
+            let id = j.id;
+            for (task, p) in j.placed.iter_mut() {
+                let seat = p.part;
+                let renew = fresh[seat.0 as usize];
+                let attempt = p.attempt.0;
+                if let Some((grace_s, sent)) = &mut p.stop {
+                    if renew || now >= *sent + RESEND_MS {
+                        *sent = now;
+                        let machine = ctx.names.machine_name(p.machine).to_string();
+                        let what = AttemptRef {
+                            job: id.0,
+                            task,
+                            attempt,
+                            machine,
+                            session: Some(p.session),
+                        };
+                        stops.push((seat, SeatMsg::Stop { what, grace_s: *grace_s }));
+                    }
+                    continue;
+                }
+                if j.cancelled {
+                    p.stop = Some((0.0, 0));
+                    continue;
+                }
+                if renew || (p.phase == Phase::Decided && now >= p.sent_at + RESEND_MS) {
+                    p.sent_at = now;
+                    let e = yes
+                        .entry((seat, id, p.adopted))
+                        .or_insert_with(|| (j.shape.wire.clone(), Vec::new()));
+                    e.1.push(Pick {
+                        task,
+                        attempt,
+                        machine: ctx.names.machine_name(p.machine).to_string(),
+                        session: p.session,
+                    });
+                }
+            }
+        }
+        for ((seat, job, adopt), (shape, picks)) in yes {
+            for c in picks.chunks(200) {
+                let picks = c.to_vec();
+                ctx.send(
+                    self.seat,
+                    seat,
+                    SeatMsg::Place { job: job.0, shape: shape.clone(), picks, adopt },
+                );
+            }
+        }
+        for (seat, msg) in stops {
+            ctx.send(self.seat, seat, msg);
+        }
+    }
+
+    pub fn tick(&mut self, ctx: &mut Ctx) {
+        self.load_step(ctx);
+        if !self.ready() {
+            return;
+        }
+        let again: Vec<JobId> = self
+            .jobs
+            .values_mut()
+            .filter(|j| {
+                j.finishing == Some(Status::Cancelled)
+                    && j.refusals == u32::MAX
+                    && ctx.now >= j.not_before
+            })
+            .map(|j| {
+                j.refusals = 0;
+                j.id
+            })
+            .collect();
+        for id in again {
+            if ctx.valid {
+                self.write_final(ctx, id, Status::Cancelled);
+            } else if let Some(j) = self.jobs.get_mut(&id) {
+                j.refusals = u32::MAX;
+            }
+        }
+        self.check_talk(ctx);
+        self.write_decision(ctx);
+        self.resend(ctx);
+        self.start_fold(ctx);
+        self.report_teams(ctx);
+        self.start_round(ctx);
+    }
+
+    /// Work without a place, for the buyer.
+    pub fn lacks(&self, ctx: &Ctx) -> Vec<Lack> {
+        if !self.ready() {
+            return Vec::new();
+        }
+        self.jobs
+            .values()
+            .filter(|j| !j.cancelled && j.finishing.is_none() && j.pending() > 0 && j.errors < 4)
+            .take(60)
+            .map(|j| Lack {
+                job: j.id.0,
+                shape: j.shape.wire.clone(),
+                count: j.pending(),
+                zone_room: j.zone_room(&ctx.names.zones),
+                waited_ms: ctx.now.saturating_sub(j.created),
+                pressing: j.pressing(ctx.now),
+            })
+            .collect()
+    }
+
+    /// The seat is lost: whoever waits for an answer has to ask again.
+    pub fn abandon(&mut self, ctx: &mut Ctx) {
+        for j in self.jobs.values_mut() {
+            for r in std::mem::take(&mut j.cancel_reqs) {
+                ctx.reply_later(r, 503, 1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/coordinator/round.rs
@@ -0,0 +1,387 @@
+//! A round: ask all parts for offers, write the choice under the epoch, then say yes and no.
+use super::{Choice, Coordinator, Talk, Writing, Yes, GPU_KINDS, ITEMS, OFFERS_MS};
+use crate::ctx::{Ctx, OpKind};
+use crate::ids::{Attempt, JobId, Negotiation, Now, Seat, ZoneIdx};
+use crate::io::{StoreCall, StoreResult};
+use crate::keys;
+use crate::names::Room;
+use crate::placed::Placement;
+use crate::teams::seat_of_team;
+use leaddeal_wire::mesh::{Offer, Phase, Pick, SeatMsg, Wanted};
+use leaddeal_wire::state::{Change, Cond, Txn};
+use leaddeal_wire::user::{self, Kind};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl Coordinator {
+    /// Jobs that may have a task placed now, the most important first.
+    pub(super) fn order(&self, now: Now) -> Vec<JobId> {
+        let mut v: Vec<_> = self
+            .jobs
+            .values()
+            .filter(|j| {
+                !j.cancelled && j.finishing.is_none() && j.not_before <= now && j.pending() > 0
+            })
+            .filter(|j| j.wire.kind != Kind::Gang || j.placed.is_empty())
+            .map(|j| {
+                let (late, due) = j.urgency(now);
+                (std::cmp::Reverse(j.wire.priority), late, due, j.created, j.id)
+            })
+            .collect();
+        v.sort_unstable();
+        v.into_iter().take(ITEMS).map(|x| x.4).collect()
+    }
+
+    pub fn start_round(&mut self, ctx: &mut Ctx) {
+        if !self.ready()
+            || self.talk.is_some()
+            || self.writing.is_some()
+            || self.leaving
+            || !ctx.valid
+        {
+            return;
+        }
+        let ids = self.order(ctx.now);
+        if ids.is_empty() {
+            return;
+        }
+        let mut items = Vec::new();
+        let mut wanted = Vec::new();
+        let mut turns = Vec::new();
+        let most = ctx.cfg.max_picks as u32;
+        let mut total = 0;
+        for id in ids {
+            let j = &self.jobs[&id];
+            let zone_room = j.zone_room(&ctx.names.zones);
+            // No job takes the whole round: others may fit where it does not.
+            let mut count = j.pending().min(most - total).min(most / 3 + 1);
+            if j.wire.kind == Kind::Gang {
+                if j.pending() > most - total {
+                    continue;
+                }
+                count = j.pending();
+            }
+            if count == 0 {
+                break;
+            }
+            total += count;
+            items.push((id, count));
+            turns.push(j.make_room.filter(|_| j.wire.priority > user::Priority::Low));
+            wanted.push(Wanted {
+                job: id.0,
+                shape: j.shape.wire.clone(),
+                count,
+                zone_room,
+                make_room: false,
+                pressing: j.pressing(ctx.now),
+                anywhere: j.anywhere(ctx.now),
+                line: j.line(ctx.now),
+            });
+        }
+        if items.is_empty() {
+            return;
+        }
+        self.next_talk += 1;
+        let id = Negotiation((self.epoch.0 << 24) | self.next_talk);
+        let gpu_work = self.gpu_work();
+        // A seat known to be vacant is not waited for.
+        let asked: Vec<Seat> = ctx.seats().filter(|s| ctx.reachable(*s)).collect();
+        for &s in &asked {
+            // Room is made by one part at a time, so that three do not stop thrice as much.
+            let mut items = wanted.clone();
+            for (w, turn) in items.iter_mut().zip(&turns) {
+                w.make_room =
+                    turn.is_some_and(|t| t as usize % ctx.seats().count() == s.0 as usize);
+            }
+            let gpu_work = gpu_work.clone();
+            let msg = SeatMsg::Request { negotiation: id.0, items, gpu_work };
+            ctx.send(self.seat, s, msg);
+        }
+        self.talk = Some(Talk {
+            id,
+            items,
+            waiting: asked.iter().copied().collect(),
+            asked,
+            offers: Vec::new(),
+            coming: BTreeSet::new(),
+            started: ctx.now,
+        });
+        self.check_talk(ctx);
+    }
+
+    /// The kinds of GPU work there are, so that parts keep services from spoiling its machines
+    /// before it gets its turn to be asked for.
+    pub(super) fn gpu_work(&self) -> Vec<(u64, u64, u64, user::Priority)> {
+        let live = self.jobs.values().filter(|j| !j.cancelled && j.shape.need.gpu > 0);
+        let kinds = live.map(|j| {
+            let n = j.shape.need;
+            (n.cpu, n.gpu, n.mem, j.wire.priority)
+        });
+        kinds.collect::<BTreeSet<_>>().into_iter().take(GPU_KINDS).collect()
+    }
+
+    pub(super) fn check_talk(&mut self, ctx: &mut Ctx) {
+        let Some(t) = &mut self.talk else { return };
+        t.waiting.retain(|s| ctx.reachable(*s));
+        if t.waiting.is_empty() || ctx.now >= t.started + OFFERS_MS {
+            self.decide(ctx);
+        }
+    }
+
+    pub(super) fn decide(&mut self, ctx: &mut Ctx) {
+        let Some(mut talk) = self.talk.take() else { return };
+        // Who answered and offered nothing holds nothing, and needs no word of the end.
+        let offered: BTreeSet<Seat> = talk.offers.iter().map(|o| o.0).collect();
+        talk.asked.retain(|s| talk.waiting.contains(s) || offered.contains(s));
+        let now = ctx.now;
+        let mut choices: Vec<Choice> = Vec::new();
+        let mut offers = talk.offers;
+        let used = self.team_usage(ctx);
+        let mut left: BTreeMap<u8, (u64, u64)> = BTreeMap::new();
+        for (i, &(id, count)) in talk.items.iter().enumerate() {
+            let Some(j) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if j.cancelled || j.finishing.is_some() {
+                continue;
+            }
+            let mut room = j.zone_room(&ctx.names.zones);
+            let mut mine: Vec<&mut (Seat, Offer)> =
+                offers.iter_mut().filter(|o| o.1.item as usize == i && o.1.count > 0).collect();
+            mine.sort_by_key(|o| (!o.1.cached, -o.1.score));
+            let mut want = count.min(j.pending());
+            if let Some((team, cpu, gpu)) = ctx.team_use(j) {
+                let epoch = ctx.owner(seat_of_team(team, ctx.seats().count())).map(|o| o.epoch);
+                let left = left.entry(team).or_insert_with(|| match self.grants.get(&team) {
+                    Some(g) if Some(g.0) == epoch => {
+                        let u = used.get(&team).copied().unwrap_or((0, 0));
+                        (g.1.saturating_sub(u.0), g.2.saturating_sub(u.1))
+                    }
+                    _ => (0, 0),
+                });
+                let n = Room { cpu: left.0, gpu: left.1, mem: 0 }.fits(Room { cpu, gpu, mem: 0 });
+                want = want.min(n.min(u64::from(u32::MAX)) as u32);
+            }
+            let mut per = vec![0u32; room.len()];
+            for o in &mine {
+                if let Some(p) = per.get_mut(o.1.zone as usize) {
+                    *p = p.saturating_add(o.1.count);
+                }
+            }
+            let open = room.clone();
+            if j.wire.one_zone {
+                // All in one zone: the one that holds the most of it, if no task is in one yet.
+                let best = (0..per.len()).max_by_key(|&z| per[z].min(room[z]));
+                for (z, r) in room.iter_mut().enumerate() {
+                    if Some(z) != best {
+                        *r = 0;
+                    }
+                }
+            }
+            let mut picks: Vec<(Seat, Offer)> = Vec::new();
+            // Replicas of a service go to different machines where they can.
+            let each = if j.wire.kind == Kind::Service { 1 } else { u32::MAX };
+            let mut progress = true;
+            while progress && (picks.len() as u32) < want {
+                progress = false;
+                for o in &mut mine {
+                    let Some(r) = room.get_mut(o.1.zone as usize) else {
+                        continue;
+                    };
+                    let n = o.1.count.min(*r).min(each).min(want - picks.len() as u32);
+                    for _ in 0..n {
+                        picks.push((o.0, o.1.clone()));
+                    }
+                    o.1.count -= n;
+                    *r -= n;
+                    progress |= n > 0;
+                }
+            }
+            let whole = j.wire.kind != Kind::Gang || picks.len() as u32 == j.pending();
+            if picks.is_empty() || !whole {
+                let tried = j.refused(now);
+                j.aim_at(&per, &open);
+                // Whoever is making room is asked on; else it is the next one's turn.
+                let step = u32::from(tried && !talk.coming.contains(&(i as u16)));
+                j.make_room = Some(j.make_room.map_or(0, |t| t + step));
+                continue;
+            }
+            if let Some((team, cpu, gpu)) = ctx.team_use(j) {
+                let n = picks.len() as u64;
+                if let Some(l) = left.get_mut(&team) {
+                    l.0 = l.0.saturating_sub(cpu * n);
+                    l.1 = l.1.saturating_sub(gpu * n);
+                }
+            }
+            j.served();
+            let short = (picks.len() as u32) < want;
+            let step = u32::from(!talk.coming.contains(&(i as u16)));
+            j.make_room = short.then(|| j.make_room.map_or(0, |t| t + step));
+            for (seat, offer) in picks {
+                let Some(task) = j.take() else { break };
+                choices.push(Choice { job: id, task, seat, offer });
+            }
+        }
+        if choices.is_empty() {
+            self.close(ctx, talk.id, &talk.asked);
+            return;
+        }
+        let round = self.next_round_id();
+        let attempt = Attempt::new(self.epoch, round);
+        let key = keys::decision_key(self.seat, self.epoch, round);
+        let picks: Vec<Value> = choices
+            .iter()
+            .map(|c| {
+                let o = &c.offer;
+                match self.jobs.get(&c.job).and_then(|j| ctx.team_use(j)) {
+                    Some(t) => {
+                        json!([c.job.0, c.task, o.machine, o.session, o.zone, t.0, t.1, t.2])
+                    }
+                    None => json!([c.job.0, c.task, o.machine, o.session, o.zone]),
+                }
+            })
+            .collect();
+        let mut conds = vec![self.mine(), Cond { key: key.clone(), version: 0 }];
+        // A grant of a team's seat ends with the owner that gave it.
+        for (team, g) in &self.grants {
+            let used = choices.iter().any(|c| {
+                let t = self.jobs.get(&c.job).and_then(|j| ctx.team_use(j));
+                t.is_some_and(|t| t.0 == *team)
+            });
+            let cond = Cond {
+                key: keys::seat_key(seat_of_team(*team, ctx.seats().count())),
+                version: g.0 .0,
+            };
+            if used && !conds.contains(&cond) {
+                conds.push(cond);
+            }
+        }
+        let txn = Txn {
+            conds,
+            changes: vec![Change::Put {
+                key: key.clone(),
+                value: json!({"a": attempt.0, "p": picks}),
+                lease: None,
+            }],
+        };
+        self.writing = Some(Writing {
+            key,
+            round,
+            attempt,
+            choices,
+            asked: talk.asked,
+            negotiation: talk.id,
+            txn,
+            unsure: false,
+            retry_at: Some(now),
+        });
+        self.write_decision(ctx);
+    }
+
+    pub(super) fn write_decision(&mut self, ctx: &mut Ctx) {
+        let Some(w) = &mut self.writing else { return };
+        if w.retry_at.is_none_or(|t| t > ctx.now) || !ctx.valid {
+            return;
+        }
+        w.retry_at = None;
+        ctx.budget.force(1);
+        let kind = OpKind::Decide { seat: self.seat, epoch: self.epoch };
+        ctx.store(kind, StoreCall::Txn(w.txn.clone()));
+    }
+
+    /// Outcome of the decision's transaction. False: the seat is lost.
+    pub fn decided(&mut self, ctx: &mut Ctx, result: StoreResult) -> bool {
+        let Some(w) = &mut self.writing else {
+            return true;
+        };
+        match result {
+            StoreResult::Committed(_) => self.winners(ctx),
+            StoreResult::Conflict(failed) => {
+                if failed.contains(&keys::seat_key(self.seat)) {
+                    return false;
+                }
+                // Only this owner writes this key: an earlier try was executed after all.
+                if w.unsure && failed.contains(&w.key) {
+                    self.winners(ctx);
+                } else {
+                    self.losers(ctx);
+                }
+            }
+            StoreResult::Refused if !w.unsure => self.losers(ctx),
+            // Never guessed: the same creation is tried again until its outcome is known.
+            StoreResult::Unknown => {
+                w.unsure = true;
+                w.retry_at = Some(ctx.now + 200);
+            }
+            _ => w.retry_at = Some(ctx.now + 300),
+        }
+        true
+    }
+
+    pub(super) fn winners(&mut self, ctx: &mut Ctx) {
+        let Some(w) = self.writing.take() else { return };
+        self.rounds.insert(w.round, (w.key.clone(), 0));
+        let mut yes: BTreeMap<(Seat, JobId), Yes> = BTreeMap::new();
+        for c in w.choices {
+            let Some(j) = self.jobs.get_mut(&c.job) else {
+                continue;
+            };
+            let p = Placement {
+                attempt: w.attempt,
+                machine: ctx.names.machine(&c.offer.machine),
+                part: c.seat,
+                session: c.offer.session,
+                zone: ZoneIdx(c.offer.zone),
+                phase: Phase::Decided,
+                round: w.round,
+                placed_at: ctx.now,
+                sent_at: ctx.now,
+                stop: None,
+                adopted: false,
+                team: ctx.team_use(j),
+            };
+            // Cancelled while the decision was being written: it was never said.
+            if j.cancelled || j.finishing.is_some() {
+                j.give_back(c.task);
+                continue;
+            }
+            j.placed.insert(c.task, p);
+            if let Some(r) = self.rounds.get_mut(&w.round) {
+                r.1 += 1;
+            }
+            let e = yes.entry((c.seat, c.job)).or_insert((j.shape.wire.clone(), Vec::new()));
+            e.1.push(Pick {
+                task: c.task,
+                attempt: w.attempt.0,
+                machine: c.offer.machine,
+                session: c.offer.session,
+            });
+        }
+        if self.rounds.get(&w.round).is_some_and(|r| r.1 == 0) {
+            self.rounds.remove(&w.round);
+            self.finished_rounds.push(w.key);
+        }
+        for ((seat, job), (shape, picks)) in yes {
+            ctx.send(self.seat, seat, SeatMsg::Place { job: job.0, shape, picks, adopt: false });
+        }
+        self.close(ctx, w.negotiation, &w.asked);
+        ctx.wake = true;
+    }
+
+    pub(super) fn losers(&mut self, ctx: &mut Ctx) {
+        let Some(w) = self.writing.take() else { return };
+        for c in &w.choices {
+            if let Some(j) = self.jobs.get_mut(&c.job) {
+                j.give_back(c.task);
+                j.not_before = ctx.now + 500;
+            }
+        }
+        self.close(ctx, w.negotiation, &w.asked);
+    }
+
+    pub(super) fn close(&mut self, ctx: &mut Ctx, n: Negotiation, asked: &[Seat]) {
+        for &s in asked {
+            ctx.send(self.seat, s, SeatMsg::Close { negotiation: n.0 });
+        }
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -28,6 +28,9 @@
     Attempt, u64);
 id!(Negotiation, u64);
 
+/// The seat whose owner buys for all.
+pub const BUYER_SEAT: Seat = Seat(0);
+
 /// Milliseconds of this process's steady clock.
 pub type Now = u64;
 
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -50,6 +50,11 @@
     pub cancel_reqs: Vec<u64>,
 }
 
+/// What users see of a job that is over.
+pub fn job_state(id: JobId, f: (Status, u32)) -> JobState {
+    JobState { id: user::job_id(id.0), status: f.0, done: f.1, running: 0 }
+}
+
 /// What the users ask for, by class: limits in milliseconds from the submission.
 #[derive(Clone, Debug, Default)]
 pub struct Aims {
--- /dev/null
+++ b/crates/core/src/keys.rs
@@ -0,0 +1,80 @@
+//! Every key that is kept in the state service is made and read here, and nowhere else.
+//!
+//! | prefix | what | written by |
+//! | --- | --- | --- |
+//! | `seat/` | owners of seats | whoever acquires one, under its lease |
+//! | `j/SEAT/` | jobs as submitted | any node, once |
+//! | `d/SEAT/` | decisions | the seat's owner |
+//! | `r/SEAT/` | done tasks, in chunks | the seat's owner |
+//! | `f/SEAT/` | final states | the seat's owner |
+//! | `base` | newest machine that was there before the service | the buyer, once |
+use crate::ids::{Epoch, JobId, Seat};
+use leaddeal_wire::user::Status;
+use serde_json::{json, Value};
+
+pub const SEATS: &str = "seat/";
+pub const BASE: &str = "base";
+
+pub fn seat_key(s: Seat) -> String {
+    format!("{SEATS}{}", s.0)
+}
+
+pub fn parse_seat_key(k: &str) -> Option<Seat> {
+    k.strip_prefix(SEATS)?.parse().ok().map(Seat)
+}
+
+pub fn decision_prefix(s: Seat) -> String {
+    format!("d/{}/", s.0)
+}
+
+pub fn job_prefix(s: Seat) -> String {
+    format!("j/{}/", s.0)
+}
+
+pub fn run_prefix(s: Seat) -> String {
+    format!("r/{}/", s.0)
+}
+
+pub fn job_key(s: Seat, j: JobId) -> String {
+    format!("j/{}/{}", s.0, j.0)
+}
+
+pub fn final_prefix(s: Seat) -> String {
+    format!("f/{}/", s.0)
+}
+
+pub fn final_key(s: Seat, j: JobId) -> String {
+    format!("f/{}/{}", s.0, j.0)
+}
+
+/// The job that a key of `j/` or `f/` is about.
+pub fn job_of_key(key: &str) -> Option<JobId> {
+    key.rsplit('/').next()?.parse().ok().map(JobId)
+}
+
+pub fn run_key(s: Seat, j: JobId, chunk: u32) -> String {
+    format!("r/{}/{}.{}", s.0, j.0, chunk)
+}
+
+pub fn final_value(status: Status, done: u32) -> Value {
+    json!([if status == Status::Done { "done" } else { "cancelled" }, done])
+}
+
+pub fn parse_final(v: &Value) -> Option<(Status, u32)> {
+    let status = match v.get(0)?.as_str()? {
+        "done" => Status::Done,
+        "cancelled" => Status::Cancelled,
+        _ => return None,
+    };
+    Some((status, v.get(1)?.as_u64()? as u32))
+}
+
+pub fn decision_key(s: Seat, epoch: Epoch, round: u64) -> String {
+    format!("{}{}-{round}", decision_prefix(s), epoch.0)
+}
+
+/// The job and chunk that a key of `r/` is about.
+pub fn run_of_key(key: &str) -> Option<(JobId, u32)> {
+    let (job, chunk) = key.rsplit('/').next()?.split_once('.')?;
+    Some((JobId(job.parse().ok()?), chunk.parse().ok()?))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod bits;
 pub mod buyer;
 pub mod coordinator;
+pub mod ctx;
 pub mod fleet;
 pub mod ids;
 pub mod io;
 pub mod jobs;
+pub mod keys;
 pub mod names;
 pub mod node;
 pub mod part;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -33,6 +33,11 @@
     }
 }
 
+/// Machines are named in the order of their creation.
+pub fn older(machine: &str, newest: &str) -> bool {
+    (machine.len(), machine) <= (newest.len(), newest)
+}
+
 /// What a task takes or a machine has: thousandths of cores and GPUs, MB.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Room {
--- /dev/null
+++ b/crates/core/src/node/mod.rs
@@ -0,0 +1,448 @@
+//! One controller: the lease, the seats it owns, and what each input means for them.
+use crate::buyer::Buyer;
+use crate::coordinator::Coordinator;
+use crate::ctx::{Ask, Budget, Config, Ctx, OpKind, Ops};
+use crate::ids::{Epoch, JobId, NodeIdx, Now, Seat, BUYER_SEAT};
+use crate::io::{CloudCall, CloudResult, Input, Out, Output, ReqId, StoreCall, StoreResult};
+use crate::jobs::Aims;
+use crate::keys;
+use crate::names::Names;
+use crate::part::Part;
+use crate::seat::{at_least, Lease, SeatView};
+use crate::teams::Desk;
+use leaddeal_wire::mesh::{NodeMsg, SeatMsg};
+use leaddeal_wire::settings::Settings;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+const CALL_MS: u64 = 700;
+const CANCEL_CALL_MS: u64 = 2500;
+/// Requests under way beyond this are refused at once.
+const MOST_CALLS: usize = 300;
+const TICK_SLOW_MS: u64 = 1000;
+/// What a worker takes to find another node, and its commands to take effect.
+const LET_GO_MS: u64 = 12_000;
+/// Final states are read from so long before a sibling was last heard: what it sent until then
+/// came, or was sent again.
+const FINALS_BACK_MS: u64 = 5000;
+/// Remembered revisions of the store, one a second.
+const MARKS: usize = 20;
+
+/// The context of one input, made anew so that other fields of the node can be used beside it.
+macro_rules! ctx {
+    ($n:expr, $out:expr) => {
+        Ctx {
+            now: $out.now,
+            time_ms: $n.time_ms,
+            valid: $n.lease.valid($out.now),
+            wake: false,
+            out: $out,
+            names: &mut $n.names,
+            cfg: &$n.cfg,
+            budget: &mut $n.budget,
+            me: $n.me,
+            view: &$n.view,
+            heard: &$n.heard,
+            ops: &mut $n.ops,
+            sends: &mut $n.sends,
+            relays: &mut $n.relays,
+        }
+    };
+}
+
+mod finals;
+mod seats;
+mod siblings;
+mod stored;
+mod users;
+mod workers;
+
+use finals::Finals;
+
+#[derive(Debug)]
+struct Call {
+    req: ReqId,
+    id: JobId,
+    ask: Ask,
+    until: Now,
+}
+
+#[derive(Debug)]
+struct Owned {
+    epoch: Epoch,
+    coordinator: Coordinator,
+    part: Part,
+    desk: Desk,
+    releasing: bool,
+    leave_until: Now,
+}
+
+pub struct Node {
+    me: NodeIdx,
+    boot: u64,
+    started: Now,
+    time_ms: u64,
+    nodes: Vec<String>,
+    cfg: Config,
+    names: Names,
+    budget: Budget,
+    lease: Lease,
+    view: Vec<SeatView>,
+    view_known: bool,
+    seats_at: Now,
+    seats_busy: bool,
+    heard: Vec<Now>,
+    state_ok_at: Now,
+    owned: Vec<Option<Owned>>,
+    buyer: Option<(Epoch, Buyer)>,
+    ops: Ops,
+    sends: VecDeque<(Seat, Seat, SeatMsg)>,
+    calls: BTreeMap<u64, Call>,
+    next_call: u64,
+    relays: HashMap<ReqId, (String, u64)>,
+    catalog_at: Now,
+    slow_at: Now,
+    next_acquire: Vec<Now>,
+    wake: bool,
+    looked: u64,
+    finals: Vec<Option<Finals>>,
+    /// Newest revision heard of.
+    revision: u64,
+    /// When which revision was the newest.
+    marks: VecDeque<(Now, u64)>,
+}
+
+impl Node {
+    pub fn new(s: &Settings, boot: u64, now: Now) -> Node {
+        let nodes = s.nodes();
+        let n = nodes.len();
+        let me = nodes.iter().position(|x| *x == s.node).unwrap_or(0);
+        let p = &s.params;
+        let mut names = Names::default();
+        names.zones.clone_from(&p.zones);
+        Node {
+            me: NodeIdx(me as u8),
+            boot,
+            started: now,
+            time_ms: 0,
+            cfg: Config {
+                worker_lease_ms: (p.workers.lease_s * 1000.0) as u64,
+                cancel_ms: (p.workers.cancel_s * 1000.0) as u64,
+                quiet_ms: (p.workers.report_s * 2500.0) as u64 + 500,
+                max_picks: ((p.state.value_kb * 1024.0 - 200.0) / 64.0).clamp(1.0, 150.0) as usize,
+                txn_ops: p.state.txn_ops,
+                cloud_gap_ms: (1100.0 / p.cloud.rps) as u64,
+                list_lag_ms: (p.cloud.list_lag_s * 1000.0) as u64,
+                teams: p.teams.clone(),
+                aims: Aims::new(&p.objectives),
+            },
+            names,
+            budget: Budget {
+                tokens: p.state.write_rps / n as f64,
+                per_ms: p.state.write_rps * 0.85 / n as f64 / 1000.0,
+                most: p.state.write_rps / n as f64,
+                at: now,
+            },
+            lease: Lease::default(),
+            view: vec![SeatView::default(); n],
+            view_known: false,
+            seats_at: now,
+            seats_busy: false,
+            heard: vec![0; n],
+            state_ok_at: now,
+            owned: (0..n).map(|_| None).collect(),
+            buyer: None,
+            ops: Ops { next: 0, open: HashMap::new() },
+            sends: VecDeque::new(),
+            calls: BTreeMap::new(),
+            next_call: boot << 20,
+            relays: HashMap::new(),
+            catalog_at: now,
+            slow_at: now,
+            next_acquire: vec![0; n],
+            nodes,
+            wake: false,
+            looked: 0,
+            finals: (0..n).map(|_| None).collect(),
+            revision: 0,
+            marks: VecDeque::new(),
+        }
+    }
+
+    /// Whether this node can take requests now.
+    pub fn healthy(&self, now: Now) -> bool {
+        !self.names.catalog.is_empty() && self.view_known && now < self.state_ok_at + 60_000
+    }
+
+    pub fn owned_seats(&self) -> Vec<(Seat, Epoch)> {
+        self.owned
+            .iter()
+            .enumerate()
+            .filter_map(|(i, o)| Some((Seat(i as u8), o.as_ref()?.epoch)))
+            .collect()
+    }
+
+    /// How often a machine was looked at to judge it for a job: the work that grows with the fleet.
+    pub fn looked(&self) -> u64 {
+        self.looked
+    }
+
+    /// Takes one input; returns what to send, write and answer.
+    pub fn step(&mut self, now: Now, time_ms: u64, input: Input) -> Vec<Output> {
+        self.time_ms = time_ms;
+        self.budget.refill(now);
+        let mut out = Out { now, list: Vec::new(), looked: 0 };
+        match input {
+            Input::Tick => self.tick(&mut out),
+            Input::Submit { req, id, job } => self.submit(&mut out, req, id, job),
+            Input::Get { req, id } => self.lookup(&mut out, req, id, Ask::Get),
+            Input::Cancel { req, id } => self.lookup(&mut out, req, id, Ask::Cancel),
+            Input::Report { req, report } => self.report(&mut out, req, &report),
+            Input::Orders { machine, batch, outcome } => {
+                self.direct_outcome(&mut out, &machine, batch, &outcome);
+            }
+            Input::Mesh { from, msg } => self.mesh(&mut out, &from, *msg),
+            Input::Store { op, result } => {
+                if let Some(kind) = self.ops.open.remove(&op) {
+                    if !matches!(result, StoreResult::Refused | StoreResult::Unknown) {
+                        self.state_ok_at = now;
+                    }
+                    self.revision = self.revision.max(match &result {
+                        StoreResult::Committed(r) => *r,
+                        StoreResult::Page(p) => p.revision,
+                        StoreResult::Events(e) => e.revision,
+                        _ => 0,
+                    });
+                    self.stored(&mut out, kind, result);
+                }
+            }
+            Input::Cloud { op, result } => {
+                if let Some(kind) = self.ops.open.remove(&op) {
+                    self.clouded(&mut out, kind, result);
+                }
+            }
+        }
+        self.settle(&mut out);
+        self.looked += out.looked;
+        out.list
+    }
+
+    /// Delivers messages between seats until there are none.
+    fn settle(&mut self, out: &mut Out) {
+        for _ in 0..50 {
+            if std::mem::take(&mut self.wake) {
+                for i in 0..self.owned.len() {
+                    let mut c = ctx!(self, out);
+                    if let Some(o) = &mut self.owned[i] {
+                        o.coordinator.start_round(&mut c);
+                    }
+                    self.wake |= c.wake;
+                }
+            }
+            while let Some((from, to, msg)) = self.sends.pop_front() {
+                let Some(epoch) = self.owned[from.0 as usize].as_ref().map(|o| o.epoch) else {
+                    continue;
+                };
+                let Some(o) = self.view.get(to.0 as usize).and_then(|v| v.owner) else {
+                    continue;
+                };
+                if o.node == self.me {
+                    if self.owned[to.0 as usize].as_ref().is_some_and(|x| x.epoch == o.epoch) {
+                        self.deliver(out, from, epoch, to, msg);
+                    }
+                } else {
+                    let node = self.nodes[o.node.0 as usize].clone();
+                    let msg = NodeMsg::Seat {
+                        from: from.0,
+                        from_epoch: epoch.0,
+                        to: to.0,
+                        to_epoch: o.epoch.0,
+                        msg,
+                    };
+                    out.list.push(Output::Mesh { to: node, msg });
+                }
+            }
+            for i in 0..self.owned.len() {
+                let mut c = ctx!(self, out);
+                if let Some(o) = &mut self.owned[i] {
+                    o.part.flush(&mut c);
+                }
+            }
+            if self.sends.is_empty() && !self.wake {
+                return;
+            }
+        }
+    }
+
+    fn deliver(&mut self, out: &mut Out, from: Seat, from_epoch: Epoch, to: Seat, msg: SeatMsg) {
+        let mut c = ctx!(self, out);
+        let Some(o) = &mut self.owned[to.0 as usize] else {
+            return;
+        };
+        match msg {
+            SeatMsg::Request { .. }
+            | SeatMsg::Close { .. }
+            | SeatMsg::Place { .. }
+            | SeatMsg::Stop { .. }
+            | SeatMsg::Forget { .. } => o.part.handle(&mut c, from, from_epoch, msg),
+            SeatMsg::Offers { .. }
+            | SeatMsg::AskDecision { .. }
+            | SeatMsg::TeamGrant { .. }
+            | SeatMsg::Room { .. }
+            | SeatMsg::Events { .. } => {
+                o.coordinator.handle(&mut c, from, msg);
+            }
+            SeatMsg::Drain { machine } => {
+                if from == BUYER_SEAT && o.part.drain(&mut c, &machine) {
+                    c.send(to, BUYER_SEAT, SeatMsg::Drained { machine });
+                }
+            }
+            SeatMsg::Base { newest } => {
+                if from == BUYER_SEAT {
+                    o.part.base = Some(newest);
+                }
+            }
+            SeatMsg::MachinesAgain => {
+                if from == BUYER_SEAT {
+                    o.part.tell_all();
+                    for msg in o.part.inventory(&c) {
+                        c.send(to, from, msg);
+                    }
+                }
+            }
+            SeatMsg::Released { machine } => {
+                if from == BUYER_SEAT {
+                    o.part.released(&mut c, &machine);
+                }
+            }
+            SeatMsg::Lacks { .. } | SeatMsg::Machines { .. } | SeatMsg::Drained { .. } => {
+                if let Some((_, b)) = &mut self.buyer {
+                    b.handle(&mut c, from, msg);
+                }
+            }
+            SeatMsg::TeamUsage { serial, usage } => {
+                let granted = o.desk.report(from, from_epoch, &usage);
+                c.send(to, from, SeatMsg::TeamGrant { serial, granted });
+            }
+        }
+        self.wake |= c.wake;
+    }
+
+    fn tick(&mut self, out: &mut Out) {
+        let now = out.now;
+        self.tick_lease(out);
+        self.tick_seats(out);
+        if self.names.catalog.is_empty() && now >= self.catalog_at {
+            self.catalog_at = now + 1000;
+            let mut c = ctx!(self, out);
+            c.cloud(OpKind::Catalog, CloudCall::Catalog);
+        }
+        // Calls to siblings that got no answer: the store knows.
+        let late: Vec<u64> =
+            self.calls.iter().filter(|(_, c)| now >= c.until).map(|(k, _)| *k).collect();
+        for k in late {
+            let Some(call) = self.calls.remove(&k) else {
+                continue;
+            };
+            if call.ask == Ask::Cancel {
+                let mut c = ctx!(self, out);
+                c.reply_later(call.req, 503, 1);
+            } else {
+                self.read_job(out, call.req, call.id, call.ask);
+            }
+        }
+        for i in 0..self.owned.len() {
+            let seat = Seat(i as u8);
+            let mut watch = None;
+            let mut c = ctx!(self, out);
+            if let Some(o) = &mut self.owned[i] {
+                o.part.tick(&mut c);
+                if c.valid {
+                    o.coordinator.tick(&mut c);
+                    let k = &mut o.coordinator;
+                    if k.ready() && !k.watching && now >= k.watch_after {
+                        k.watching = true;
+                        watch = Some((o.epoch, k.watch_from));
+                    }
+                }
+            }
+            if let Some((epoch, after)) = watch {
+                let call =
+                    StoreCall::Watch { prefix: keys::job_prefix(seat), after, wait_ms: 15_000 };
+                c.store(OpKind::JobWatch { seat, epoch }, call);
+            }
+            self.wake |= c.wake;
+        }
+        self.tick_finals(out);
+        if now >= self.slow_at {
+            self.slow_at = now + TICK_SLOW_MS;
+            self.slow_tick(out);
+        }
+        if let Some((_, b)) = &mut self.buyer {
+            let mut c = ctx!(self, out);
+            b.tick(&mut c);
+        }
+    }
+
+    fn slow_tick(&mut self, out: &mut Out) {
+        let now = out.now;
+        self.marks.push_back((now, self.revision));
+        if self.marks.len() > MARKS {
+            self.marks.pop_front();
+        }
+        let owned: Vec<(u8, u64)> = match self.lease.valid(now) {
+            true => self.owned_seats().iter().map(|(s, e)| (s.0, e.0)).collect(),
+            false => Vec::new(),
+        };
+        for (i, n) in self.nodes.iter().enumerate() {
+            if i != self.me.0 as usize {
+                let msg = NodeMsg::Beat { owned: owned.clone() };
+                out.list.push(Output::Mesh { to: n.clone(), msg });
+            }
+        }
+        // At home again and ready: ask for the own seat.
+        let me = self.me.0 as usize;
+        if let Some(o) = self.view[me].owner {
+            if o.node != self.me
+                && self.lease.valid(now)
+                && now > self.started + at_least(2000)
+                && !self.names.catalog.is_empty()
+            {
+                let to = self.nodes[o.node.0 as usize].clone();
+                out.list.push(Output::Mesh { to, msg: NodeMsg::WantSeat { seat: me as u8 } });
+            }
+        }
+        for i in 0..self.owned.len() {
+            let mut c = ctx!(self, out);
+            let Some(o) = &mut self.owned[i] else {
+                continue;
+            };
+            let seat = Seat(i as u8);
+            let lacks = o.coordinator.lacks(&c);
+            let machines = o.part.inventory(&c);
+            if o.coordinator.ready() {
+                c.send(seat, BUYER_SEAT, SeatMsg::Lacks { lacks });
+            }
+            for msg in machines {
+                c.send(seat, BUYER_SEAT, msg);
+            }
+        }
+    }
+
+    fn clouded(&mut self, out: &mut Out, kind: OpKind, result: CloudResult) {
+        match (kind, result) {
+            (OpKind::Catalog, CloudResult::Catalog(cat)) => {
+                self.names.set_catalog(cat);
+                self.tick_seats(out);
+            }
+            (OpKind::Buyer(epoch, what), result) => {
+                let mut c = ctx!(self, out);
+                if let Some((e, b)) = &mut self.buyer {
+                    if *e == epoch {
+                        b.cloud(&mut c, what, result);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/seats.rs
@@ -0,0 +1,225 @@
+//! The lease, and which seats are acquired, kept, handed over and lost.
+use super::{Node, Owned};
+use crate::buyer::Buyer;
+use crate::coordinator::Coordinator;
+use crate::ctx::{lately, Ctx, OpKind};
+use crate::ids::{Epoch, NodeIdx, Seat, BUYER_SEAT};
+use crate::io::{Out, StoreCall};
+use crate::keys;
+use crate::part::Part;
+use crate::seat::{Owner, SeatView, LEASE_MS, RENEW_MS};
+use crate::teams::Desk;
+use leaddeal_wire::state::{Change, Cond, Txn};
+use serde_json::json;
+
+impl Node {
+    pub(super) fn own(&mut self, out: &mut Out, seat: Seat, epoch: Epoch) {
+        let now = out.now;
+        let i = seat.0 as usize;
+        if self.owned[i].as_ref().is_some_and(|o| o.epoch >= epoch) {
+            return;
+        }
+        self.drop_seat(out, seat);
+        let n = self.view.len();
+        out.log(1, "seat_acquired", || format!("seat={} epoch={}", seat.0, epoch.0));
+        self.view[i].owner = Some(Owner { node: self.me, boot: self.boot, epoch });
+        self.owned[i] = Some(Owned {
+            epoch,
+            coordinator: Coordinator::new(seat, epoch, n),
+            part: Part::new(seat, epoch, now, n),
+            desk: Desk::new(seat, &self.cfg.teams, n),
+            releasing: false,
+            leave_until: 0,
+        });
+        if seat == BUYER_SEAT {
+            self.buyer = Some((epoch, Buyer::new(epoch, now)));
+        }
+        self.spread_view();
+        let mut c = ctx!(self, out);
+        if let Some(o) = &mut self.owned[i] {
+            o.coordinator.tick(&mut c);
+        }
+    }
+
+    pub(super) fn drop_seat(&mut self, out: &mut Out, seat: Seat) {
+        let mut c = ctx!(self, out);
+        if let Some(mut o) = self.owned[seat.0 as usize].take() {
+            o.coordinator.abandon(&mut c);
+            c.out.log(1, "seat_lost", || format!("seat={} epoch={}", seat.0, o.epoch.0));
+            if seat == BUYER_SEAT {
+                self.buyer = None;
+            }
+        }
+    }
+
+    pub(super) fn drop_all(&mut self, out: &mut Out) {
+        for i in 0..self.owned.len() {
+            self.drop_seat(out, Seat(i as u8));
+        }
+    }
+
+    /// A new epoch is a no to what older ones left open, whoever tells of it.
+    pub(super) fn spread_view(&mut self) {
+        for i in 0..self.view.len() {
+            if let Some(w) = self.view[i].owner {
+                for o in self.owned.iter_mut().flatten() {
+                    o.part.see_coordinator(Seat(i as u8), w.epoch);
+                }
+            }
+        }
+    }
+
+    pub(super) fn see_seat(
+        &mut self,
+        out: &mut Out,
+        key: &str,
+        value: Option<(&serde_json::Value, u64)>,
+    ) {
+        let now = out.now;
+        let Some(seat) = keys::parse_seat_key(key).filter(|s| (s.0 as usize) < self.view.len())
+        else {
+            return;
+        };
+        let i = seat.0 as usize;
+        let Some((v, version)) = value else {
+            if self.view[i].owner.is_some() {
+                self.view[i] = SeatView { owner: None, vacant_since: now, trying: false };
+            }
+            if self.owned[i].is_some() {
+                self.drop_seat(out, seat);
+            }
+            return;
+        };
+        let epoch = Epoch(version);
+        let node = v["node"].as_str().and_then(|n| self.nodes.iter().position(|x| x == n));
+        let boot = v["boot"].as_u64();
+        let (Some(node), Some(boot)) = (node, boot) else {
+            return;
+        };
+        let owner = Owner { node: NodeIdx(node as u8), boot, epoch };
+        if self.view[i].owner.is_some_and(|o| o.epoch > epoch) {
+            return;
+        }
+        self.view[i].owner = Some(owner);
+        let mine = owner.node == self.me && boot == self.boot;
+        if mine && self.lease.valid(now) {
+            self.own(out, seat, epoch);
+        } else if !mine && self.owned[i].is_some() {
+            self.drop_seat(out, seat);
+        }
+        self.spread_view();
+        self.wake = true;
+    }
+
+    pub(super) fn tick_lease(&mut self, out: &mut Out) {
+        let now = out.now;
+        if self.lease.id.is_some() && !self.lease.in_grace(now) {
+            // Too long without a renewal: nothing may be answered for any seat any more.
+            self.drop_all(out);
+        }
+        let stuck = self.lease.sent.is_none_or(|s| now > s + 2500);
+        if now >= self.lease.next && stuck {
+            self.lease.sent = Some(now);
+            self.lease.next = now + RENEW_MS;
+            let id = self.lease.id;
+            let mut c = ctx!(self, out);
+            match id {
+                Some(lease) => {
+                    c.store(OpKind::Touch { sent: now, lease }, StoreCall::Touch { lease })
+                }
+                None => c.store(
+                    OpKind::NewLease { sent: now },
+                    StoreCall::NewLease { ttl_ms: LEASE_MS },
+                ),
+            }
+        }
+        if !self.seats_busy && now >= self.seats_at && !self.view_known {
+            self.seats_busy = true;
+            let mut c = ctx!(self, out);
+            c.store(OpKind::Seats, StoreCall::List { prefix: keys::SEATS.into(), after: None });
+        }
+    }
+
+    pub(super) fn tick_seats(&mut self, out: &mut Out) {
+        let now = out.now;
+        if !self.view_known || !self.lease.valid(now) || self.names.catalog.is_empty() {
+            return;
+        }
+        let n = self.view.len();
+        for i in 0..n {
+            let v = self.view[i];
+            let mut version = 0;
+            let take = match v.owner {
+                None => {
+                    let home = i == self.me.0 as usize;
+                    let alive = |k: usize| lately(self.heard[k], now);
+                    // Home takes its own seat at once; others in order of distance, and only
+                    // later if home is alive.
+                    let wait = if home {
+                        0
+                    } else {
+                        let ahead = (1..n)
+                            .map(|d| (i + d) % n)
+                            .take_while(|&k| k != self.me.0 as usize)
+                            .filter(|&k| alive(k))
+                            .count() as u64;
+                        let load = self.owned.iter().flatten().count() as u64;
+                        (if alive(i) { 1500 } else { 0 }) + ahead * 400 + load * 50
+                    };
+                    now >= v.vacant_since + wait
+                }
+                // Our own process before this one held it: that one is dead.
+                Some(o) if o.node == self.me && o.boot != self.boot => {
+                    version = o.epoch.0;
+                    true
+                }
+                Some(_) => false,
+            };
+            if !take || self.owned[i].is_some() || now < self.next_acquire[i] || v.trying {
+                continue;
+            }
+            self.next_acquire[i] = now + 700;
+            self.view[i].trying = true;
+            let key = keys::seat_key(Seat(i as u8));
+            let value = json!({"node": self.nodes[self.me.0 as usize], "boot": self.boot});
+            let txn = Txn {
+                conds: vec![Cond { key: key.clone(), version }],
+                changes: vec![Change::Put { key, value, lease: self.lease.id }],
+            };
+            self.budget.force(1);
+            let mut c = ctx!(self, out);
+            c.store(OpKind::Acquire(Seat(i as u8)), StoreCall::Txn(txn));
+        }
+        // Orderly handover to the seat's home.
+        for i in 0..n {
+            let Some(o) = &mut self.owned[i] else {
+                continue;
+            };
+            if !o.coordinator.leaving || o.releasing {
+                continue;
+            }
+            if now > o.leave_until {
+                o.coordinator.leaving = false;
+                continue;
+            }
+            if o.coordinator.quiet() {
+                o.releasing = true;
+                let key = keys::seat_key(Seat(i as u8));
+                let epoch = o.epoch;
+                let txn = Txn {
+                    conds: vec![Cond { key: key.clone(), version: epoch.0 }],
+                    changes: vec![Change::Delete { key }],
+                };
+                self.budget.force(1);
+                let mut c = ctx!(self, out);
+                c.store(OpKind::Release(Seat(i as u8), epoch), StoreCall::Txn(txn));
+            }
+        }
+    }
+
+    pub(super) fn watch_seats(&mut self, out: &mut Out, after: u64) {
+        let mut c = ctx!(self, out);
+        let call = StoreCall::Watch { prefix: keys::SEATS.into(), after, wait_ms: 15_000 };
+        c.store(OpKind::SeatWatch, call);
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/users.rs
@@ -0,0 +1,157 @@
+//! Users: submissions, questions, cancellations, here or by a sibling.
+use super::{Call, Node, CALL_MS, CANCEL_CALL_MS, MOST_CALLS};
+use crate::ctx::{known, Ask, AskKind, Ctx, OpKind};
+use crate::ids::{seat_of_job, JobId};
+use crate::io::{Out, Output, ReqId, StoreCall, StoreResult};
+use crate::jobs::wire_shape;
+use crate::keys;
+use crate::names::Room;
+use leaddeal_wire::mesh::NodeMsg;
+use leaddeal_wire::state::{Change, Cond, Txn};
+use leaddeal_wire::user::{self, JobState, Status};
+use serde_json::json;
+
+impl Node {
+    pub(super) fn submit(
+        &mut self,
+        out: &mut Out,
+        req: ReqId,
+        id: Option<JobId>,
+        job: Result<Box<user::Job>, user::BadJob>,
+    ) {
+        let job = match (job, id) {
+            (Ok(j), Some(_)) => j,
+            (Ok(_), None) | (Err(_), None) => {
+                let mut c = ctx!(self, out);
+                c.reply_error(req, 400, "malformed", None);
+                return;
+            }
+            (Err(_), Some(id)) => return self.lookup(out, req, id, Ask::Wrong(400)),
+        };
+        let id = id.unwrap_or_default();
+        if self.names.catalog.is_empty() {
+            let mut c = ctx!(self, out);
+            return c.reply_later(req, 503, 1);
+        }
+        if !self.can_run(&job) {
+            return self.lookup(out, req, id, Ask::Wrong(422));
+        }
+        if self.ops.open.len() > MOST_CALLS || self.calls.len() > MOST_CALLS {
+            let mut c = ctx!(self, out);
+            return c.reply_later(req, 503, 2);
+        }
+        let seat = seat_of_job(id, self.view.len());
+        let value = json!({"job": *job, "at": self.time_ms});
+        let txn = Txn {
+            conds: vec![
+                Cond { key: keys::job_key(seat, id), version: 0 },
+                Cond { key: keys::final_key(seat, id), version: 0 },
+            ],
+            changes: vec![Change::Put {
+                key: keys::job_key(seat, id),
+                value: value.clone(),
+                lease: None,
+            }],
+        };
+        self.budget.force(1);
+        let mut c = ctx!(self, out);
+        c.store(OpKind::Submit { req, id, value }, StoreCall::Txn(txn));
+    }
+
+    pub(super) fn can_run(&self, j: &user::Job) -> bool {
+        let Some(team) = self.cfg.teams.iter().find(|t| t.name == j.team) else {
+            return false;
+        };
+        let shape = wire_shape(j);
+        let need = Room::of(&shape);
+        let fits = self.names.catalog.iter().enumerate().any(|(i, t)| {
+            let idx = crate::ids::TypeIdx(i as u8);
+            self.names.allows(&shape, idx, false)
+                && self.names.room_of_type(idx).fits(need) > 0
+                && j.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+        });
+        let n = if j.kind == user::Kind::Array { 1.0 } else { f64::from(j.tasks) };
+        let within = |max: f64, v: f64| max == 0.0 || v * n <= max + 1e-6;
+        fits && within(team.cpus_max, j.cpus) && within(team.gpus_max, j.gpus)
+    }
+
+    pub(super) fn lookup(&mut self, out: &mut Out, req: ReqId, id: JobId, ask: Ask) {
+        let now = out.now;
+        let valid = self.lease.valid(now);
+        let seat = seat_of_job(id, self.view.len());
+        let view = self.view[seat.0 as usize].owner;
+        let busy = self.ops.open.len() > MOST_CALLS || self.calls.len() > MOST_CALLS;
+        let mut c = ctx!(self, out);
+        if let Some(o) =
+            self.owned[seat.0 as usize].as_mut().filter(|o| valid && o.coordinator.ready())
+        {
+            if ask == Ask::Cancel {
+                if o.coordinator.cancel(&mut c, req, id) {
+                    return;
+                }
+            } else if let Some(s) = o.coordinator.state(id) {
+                return c.reply_state(req, 200, s);
+            }
+        } else if let Some(o) = view.filter(|o| o.node != self.me && c.reachable(seat) && !busy) {
+            self.next_call += 1;
+            let call = self.next_call;
+            let to = self.nodes[o.node.0 as usize].clone();
+            let msg = NodeMsg::Ask { call, job: id.0, cancel: ask == Ask::Cancel };
+            out.list.push(Output::Mesh { to, msg });
+            let until = now + if ask == Ask::Cancel { CANCEL_CALL_MS } else { CALL_MS };
+            self.calls.insert(call, Call { req, id, ask, until });
+            return;
+        }
+        self.read_job(out, req, id, ask);
+    }
+
+    /// Reads the store: the job first, then the final state. A job's final state is written in
+    /// the same transaction that deletes the job, so one of the two is found if it is known.
+    pub(super) fn read_job(&mut self, out: &mut Out, req: ReqId, id: JobId, ask: Ask) {
+        let busy = self.ops.open.len() > MOST_CALLS;
+        let seat = seat_of_job(id, self.view.len());
+        let mut c = ctx!(self, out);
+        if busy {
+            return c.reply_later(req, 503, 2);
+        }
+        let kind = OpKind::ReadJob { req, id, ask: AskKind(ask) };
+        c.store(kind, StoreCall::Get { key: keys::job_key(seat, id) });
+    }
+
+    pub(super) fn submitted(
+        &mut self,
+        out: &mut Out,
+        req: ReqId,
+        id: JobId,
+        value: &serde_json::Value,
+        result: StoreResult,
+    ) {
+        match result {
+            StoreResult::Committed(rev) => {
+                let seat = seat_of_job(id, self.view.len());
+                let mut c = ctx!(self, out);
+                if let Some(o) = &mut self.owned[seat.0 as usize] {
+                    // While it loads, the list brings it. And if the list is newer than the
+                    // creation but lacks the job, then it is over already: this answer is a
+                    // late one. (Found by the simulator: a done job went back to running.)
+                    if o.coordinator.ready() && rev > o.coordinator.loaded_from {
+                        o.coordinator.job_created(&mut c, &keys::job_key(seat, id), value);
+                    }
+                }
+                let state = JobState {
+                    id: user::job_id(id.0),
+                    status: Status::Queued,
+                    done: 0,
+                    running: 0,
+                };
+                c.reply(req, known(state, true));
+                self.wake |= c.wake;
+            }
+            StoreResult::Conflict(_) => self.lookup(out, req, id, Ask::Known),
+            _ => {
+                let mut c = ctx!(self, out);
+                c.reply_later(req, 503, 1);
+            }
+        }
+    }
+}
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -1,9 +1,8 @@
 //! A seat's machines: holds room, offers it, starts what was decided, and proves what is gone.
-use crate::buyer::BUYER_SEAT;
+use crate::ctx::Ctx;
 use crate::fleet::{Key, Machine, StopWish, TaskOn};
-use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat};
+use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, BUYER_SEAT};
 use crate::names::{Names, Room, Shape};
-use crate::node::Ctx;
 use crate::seat::at_least;
 use leaddeal_wire::mesh::{AttemptRef, Phase, Pick, SeatMsg, TaskEvent};
 use leaddeal_wire::user::Priority;
--- a/crates/core/src/part/offer.rs
+++ b/crates/core/src/part/offer.rs
@@ -1,11 +1,10 @@
 //! Offers: which machines of the part a request may have, and which of them it gets.
 use super::stock::Group;
 use super::{Hold, Part, SHUN_MS};
-use crate::buyer::older;
+use crate::ctx::Ctx;
 use crate::fleet::Machine;
 use crate::ids::{JobId, MachineIdx, Negotiation, Now, Seat, TypeIdx, ZoneIdx};
-use crate::names::{Names, Room};
-use crate::node::Ctx;
+use crate::names::{older, Names, Room};
 use leaddeal_wire::mesh::{Line, Offer, SeatMsg, Shape as WireShape, Wanted};
 use leaddeal_wire::user::{Kind, Priority};
 use std::cmp::Reverse;
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -1,5 +1,5 @@
 //! Lease and seats: who acts for which part and which jobs.
-use crate::ids::{Epoch, NodeIdx, Now, Seat};
+use crate::ids::{Epoch, NodeIdx, Now};
 
 /// Life of a controller's lease at the state service.
 pub const LEASE_MS: u64 = 4000;
@@ -53,11 +53,3 @@
         self.id.is_some() && now < self.renewed + at_most(GRACE_MS)
     }
 }
-
-pub fn seat_key(s: Seat) -> String {
-    format!("seat/{}", s.0)
-}
-
-pub fn parse_seat_key(k: &str) -> Option<Seat> {
-    k.strip_prefix("seat/")?.parse().ok().map(Seat)
-}
