One reader of records: pages, then changes, from the beginning again if some were lost

Need: loading a seat, following its new jobs and reading final states of silent owners each handled pages, truncation, refusals and 410 on their own; a seat whose watch fell behind was given up and taken anew, since its owner could not read again.

Change: records.rs, a state machine without I/O, used by all three; after a 410 it reads from the beginning and its owner keeps the seat. The state service's answers for a coordinator come one way.

--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -2,67 +2,72 @@
 use super::{Coordinator, Load};
 use crate::ctx::{Ctx, OpKind};
 use crate::ids::{Attempt, JobId, ZoneIdx};
-use crate::io::{StoreCall, StoreResult};
+use crate::io::StoreResult;
 use crate::jobs::{wire_shape, Job};
 use crate::keys;
 use crate::placed::Placement;
+use crate::records::Feed;
 use leaddeal_wire::mesh::Phase;
-use leaddeal_wire::state::Item;
 use leaddeal_wire::user::{self};
 use serde_json::Value;
 use std::sync::Arc;
 
+/// So long a watch for new jobs waits.
+const JOBS_WAIT_MS: u64 = 15_000;
+
 impl Coordinator {
-    pub(super) fn load_step(&mut self, ctx: &mut Ctx) {
-        if self.loading || ctx.now < self.retry_load_at {
-            return;
+    /// Reads on: the next page, or what comes.
+    pub(super) fn read_on(&mut self, ctx: &mut Ctx) {
+        if let Some(call) = self.feed.call(ctx.now) {
+            ctx.store(OpKind::Records { seat: self.seat, epoch: self.epoch }, call);
         }
-        let prefix = match self.load {
-            Load::Decisions => keys::decision_prefix(self.seat),
-            Load::Jobs => keys::job_prefix(self.seat),
-            Load::Runs => keys::run_prefix(self.seat),
-            Load::Ready => return,
-        };
-        self.loading = true;
-        ctx.store(
-            OpKind::Load { seat: self.seat, epoch: self.epoch },
-            StoreCall::List { prefix, after: self.after.clone() },
-        );
     }
 
-    pub fn loaded(&mut self, ctx: &mut Ctx, result: StoreResult) {
-        self.loading = false;
-        let StoreResult::Page(page) = result else {
-            self.retry_load_at = ctx.now + 300;
-            return;
-        };
-        if matches!(self.load, Load::Jobs) && self.after.is_none() {
-            self.watch_from = page.revision;
-            self.loaded_from = page.revision;
-        }
-        self.after = page.items.last().map(|i| i.key.clone()).filter(|_| page.more);
-        for item in page.items {
+    pub fn records(&mut self, ctx: &mut Ctx, result: StoreResult) {
+        let heard = matches!(result, StoreResult::Page(_) | StoreResult::Events(_));
+        for (key, value) in self.feed.take(ctx.now, result) {
             match self.load {
-                Load::Decisions => self.decisions.push(item),
-                Load::Jobs => self.job_created(ctx, &item.key, &item.value),
-                Load::Runs => self.run_loaded(&item),
-                Load::Ready => {}
+                Load::Decisions => self.decisions.push((key, value)),
+                Load::Jobs | Load::Ready => self.job_created(ctx, &key, &value),
+                Load::Runs => self.run_loaded(&key, &value),
             }
         }
-        if self.after.is_none() {
-            self.load = match self.load {
-                Load::Decisions => Load::Jobs,
-                Load::Jobs => Load::Runs,
-                Load::Runs | Load::Ready => Load::Ready,
-            };
+        if !heard {
+            return;
+        }
+        if self.feed.caught_up() && !self.ready() {
+            self.next_load(ctx);
             if self.ready() {
+                return;
+            }
+        }
+        self.read_on(ctx);
+    }
+
+    fn next_load(&mut self, ctx: &mut Ctx) {
+        match self.load {
+            Load::Decisions => {
+                self.load = Load::Jobs;
+                self.feed = Feed::all(keys::job_prefix(self.seat), JOBS_WAIT_MS);
+            }
+            Load::Jobs => {
+                self.load = Load::Runs;
+                self.loaded_from = self.feed.revision();
+                let runs = Feed::pages(keys::run_prefix(self.seat));
+                self.jobs_feed = Some(std::mem::replace(&mut self.feed, runs));
+            }
+            Load::Runs => {
+                self.load = Load::Ready;
+                if let Some(jobs) = self.jobs_feed.take() {
+                    self.feed = jobs;
+                }
                 self.take_decisions(ctx);
                 ctx.wake = true;
                 let (s, n) = (self.seat.0, self.jobs.len());
                 ctx.out.log(1, "seat_loaded", || format!("seat={s} jobs={n}"));
             }
+            Load::Ready => {}
         }
-        self.load_step(ctx);
     }
 
     pub fn job_created(&mut self, ctx: &mut Ctx, key: &str, value: &Value) {
@@ -83,14 +88,11 @@
         ctx.wake = true;
     }
 
-    pub(super) fn run_loaded(&mut self, item: &Item) {
-        let Some((id, chunk)) = item.key.rsplit('/').next().and_then(|s| {
-            let (a, b) = s.split_once('.')?;
-            Some((JobId(a.parse().ok()?), b.parse::<u32>().ok()?))
-        }) else {
+    pub(super) fn run_loaded(&mut self, key: &str, value: &Value) {
+        let Some((id, chunk)) = keys::run_of_key(key) else {
             return;
         };
-        if let (Some(j), Some(text)) = (self.jobs.get_mut(&id), item.value.as_str()) {
+        if let (Some(j), Some(text)) = (self.jobs.get_mut(&id), value.as_str()) {
             j.done.add_chunk(chunk, text, j.wire.tasks);
         }
     }
@@ -98,14 +100,14 @@
     /// Decisions of older epochs: their winners may be on machines. Of several attempts of a
     /// task only the newest counts; it was decided after the older ones were proven gone.
     pub(super) fn take_decisions(&mut self, ctx: &mut Ctx) {
-        for item in std::mem::take(&mut self.decisions) {
-            let Some(attempt) = item.value["a"].as_u64().map(Attempt) else {
+        for (key, value) in std::mem::take(&mut self.decisions) {
+            let Some(attempt) = value["a"].as_u64().map(Attempt) else {
                 continue;
             };
             let round = self.next_round_id();
-            self.rounds.insert(round, (item.key.clone(), 0));
+            self.rounds.insert(round, (key.clone(), 0));
             let empty = Vec::new();
-            for p in item.value["p"].as_array().unwrap_or(&empty) {
+            for p in value["p"].as_array().unwrap_or(&empty) {
                 let (Some(job), Some(task), Some(machine), Some(session), Some(zone)) =
                     (p[0].as_u64(), p[1].as_u64(), p[2].as_str(), p[3].as_u64(), p[4].as_u64())
                 else {
@@ -143,7 +145,7 @@
             }
             if self.rounds.get(&round).is_some_and(|r| r.1 == 0) {
                 self.rounds.remove(&round);
-                self.finished_rounds.push(item.key);
+                self.finished_rounds.push(key);
             }
         }
     }
--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -3,10 +3,11 @@
 use crate::ids::{Attempt, Epoch, JobId, Negotiation, Now, Seat};
 use crate::jobs::{DoneOn, Job};
 use crate::keys;
+use crate::records::{Feed, Record};
 use leaddeal_wire::mesh::{
     AttemptRef, Lack, Offer, Phase, Pick, SeatMsg, Shape as WireShape, TaskEvent,
 };
-use leaddeal_wire::state::{Cond, Item, Txn};
+use leaddeal_wire::state::{Cond, Txn};
 use leaddeal_wire::user::{Kind, Status};
 use leaddeal_wire::worker::{TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -83,10 +84,10 @@
     pub seat: Seat,
     pub epoch: Epoch,
     load: Load,
-    loading: bool,
-    retry_load_at: Now,
-    after: Option<String>,
-    decisions: Vec<Item>,
+    /// What is being read, or the jobs as they come.
+    feed: Feed,
+    jobs_feed: Option<Feed>,
+    decisions: Vec<Record>,
     pub jobs: BTreeMap<JobId, Job>,
     /// Jobs that are over, with their final state.
     pub closed: HashMap<JobId, (Status, u32)>,
@@ -100,9 +101,6 @@
     fold_after: Now,
     /// Revision of the list of jobs that was loaded.
     pub loaded_from: u64,
-    pub watch_from: u64,
-    pub watching: bool,
-    pub watch_after: Now,
     /// Told to hand the seat over: no new rounds.
     pub leaving: bool,
     part_epochs: Vec<Epoch>,
@@ -119,9 +117,8 @@
             seat,
             epoch,
             load: Load::Decisions,
-            loading: false,
-            retry_load_at: 0,
-            after: None,
+            feed: Feed::pages(keys::decision_prefix(seat)),
+            jobs_feed: None,
             decisions: Vec::new(),
             jobs: BTreeMap::new(),
             closed: HashMap::new(),
@@ -134,9 +131,6 @@
             fold: None,
             fold_after: 0,
             loaded_from: 0,
-            watch_from: 0,
-            watching: false,
-            watch_after: 0,
             leaving: false,
             part_epochs: vec![Epoch(0); seats],
             next_resend: 0,
@@ -377,8 +371,8 @@
     }
 
     pub fn tick(&mut self, ctx: &mut Ctx) {
-        self.load_step(ctx);
         if !self.ready() {
+            self.read_on(ctx);
             return;
         }
         let again: Vec<JobId> = self
@@ -407,6 +401,7 @@
         self.start_fold(ctx);
         self.report_teams(ctx);
         self.start_round(ctx);
+        self.read_on(ctx);
     }
 
     /// Work without a place, for the buyer.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod part;
 pub mod placed;
 pub mod preemption;
+pub mod records;
 pub mod seat;
 pub mod teams;
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -3,11 +3,11 @@
 use crate::coordinator::Coordinator;
 use crate::ctx::{Ask, Budget, Config, Ctx, OpKind, Ops};
 use crate::ids::{Epoch, JobId, NodeIdx, Now, Seat, BUYER_SEAT};
-use crate::io::{CloudCall, CloudResult, Input, Out, Output, ReqId, StoreCall, StoreResult};
+use crate::io::{CloudCall, CloudResult, Input, Out, Output, ReqId, StoreResult};
 use crate::jobs::Aims;
-use crate::keys;
 use crate::names::Names;
 use crate::part::Part;
+use crate::records::Feed;
 use crate::seat::{at_least, Lease, SeatView};
 use crate::teams::Desk;
 use leaddeal_wire::mesh::{NodeMsg, SeatMsg};
@@ -56,8 +56,6 @@
 mod users;
 mod workers;
 
-use finals::Finals;
-
 #[derive(Debug)]
 struct Call {
     req: ReqId,
@@ -104,7 +102,8 @@
     next_acquire: Vec<Now>,
     wake: bool,
     looked: u64,
-    finals: Vec<Option<Finals>>,
+    /// Final states of seats whose owners are not heard.
+    finals: Vec<Option<Feed>>,
     /// Newest revision heard of.
     revision: u64,
     /// When which revision was the newest.
@@ -351,25 +350,13 @@
             }
         }
         for i in 0..self.owned.len() {
-            let seat = Seat(i as u8);
-            let mut watch = None;
             let mut c = ctx!(self, out);
             if let Some(o) = &mut self.owned[i] {
                 o.part.tick(&mut c);
                 if c.valid {
                     o.coordinator.tick(&mut c);
-                    let k = &mut o.coordinator;
-                    if k.ready() && !k.watching && now >= k.watch_after {
-                        k.watching = true;
-                        watch = Some((o.epoch, k.watch_from));
-                    }
                 }
             }
-            if let Some((epoch, after)) = watch {
-                let call =
-                    StoreCall::Watch { prefix: keys::job_prefix(seat), after, wait_ms: 15_000 };
-                c.store(OpKind::JobWatch { seat, epoch }, call);
-            }
             self.wake |= c.wake;
         }
         self.tick_finals(out);
--- a/crates/core/src/node/stored.rs
+++ b/crates/core/src/node/stored.rs
@@ -110,50 +110,16 @@
                     _ => self.drop_seat(out, seat),
                 }
             }
-            OpKind::Load { seat, epoch } => {
+            OpKind::Records { seat, epoch } => {
                 let Some(i) = self.coordinator(seat, epoch) else {
                     return;
                 };
                 let mut c = ctx!(self, out);
                 if let Some(o) = &mut self.owned[i] {
-                    o.coordinator.loaded(&mut c, result);
+                    o.coordinator.records(&mut c, result);
                 }
                 self.wake |= c.wake;
             }
-            OpKind::JobWatch { seat, epoch } => {
-                let Some(i) = self.coordinator(seat, epoch) else {
-                    return;
-                };
-                let mut c = ctx!(self, out);
-                let Some(o) = &mut self.owned[i] else { return };
-                let k = &mut o.coordinator;
-                k.watching = false;
-                let mut again = None;
-                match result {
-                    StoreResult::Events(e) => {
-                        for ev in &e.events {
-                            if let Some(key) = &ev.put {
-                                k.job_created(&mut c, key, &ev.value);
-                            }
-                        }
-                        k.watch_from = e.revision;
-                        k.watching = true;
-                        again = Some(k.watch_from);
-                    }
-                    StoreResult::TooOld => {
-                        // Jobs may have been missed: read all anew, under a new epoch.
-                        self.drop_for_reload(out, seat);
-                        return;
-                    }
-                    _ => k.watch_after = now + 300,
-                }
-                self.wake |= c.wake;
-                if let Some(after) = again {
-                    let call =
-                        StoreCall::Watch { prefix: keys::job_prefix(seat), after, wait_ms: 15_000 };
-                    c.store(OpKind::JobWatch { seat, epoch }, call);
-                }
-            }
             OpKind::Decide { seat, epoch }
             | OpKind::Fold { seat, epoch }
             | OpKind::Finish { seat, epoch, .. } => {
@@ -244,13 +210,4 @@
             OpKind::Catalog | OpKind::Buyer(..) => {}
         }
     }
-
-    pub(super) fn drop_for_reload(&mut self, out: &mut Out, seat: Seat) {
-        let i = seat.0 as usize;
-        if let Some(o) = &mut self.owned[i] {
-            o.coordinator.leaving = true;
-            o.leave_until = out.now + 60_000;
-            o.coordinator.watch_after = out.now + 1000;
-        }
-    }
 }
