Writes are shared out by class and by seats owned; nothing deleted that was never written

A node that owned all seats folded with a third of the budget. And each final state deleted records of done tasks, whether any had been written or not: for most jobs none had.

Change: budget.rs with five classes in the order of importance (seats, decisions, acceptances, folds, the rest); submissions are refused at once with Retry-After when two seconds' worth were written ahead; the share of a node follows the seats it owns; a job knows whether anything of it was stored.

--- a/crates/core/src/coordinator/finish.rs
+++ b/crates/core/src/coordinator/finish.rs
@@ -1,6 +1,7 @@
 //! What is over: done tasks are folded, final states written, cancellations answered.
 use super::{Coordinator, Fold, FOLD_MS};
 use crate::bits::CHUNK;
+use crate::budget::Class;
 use crate::ctx::{Ctx, OpKind};
 use crate::ids::{JobId, Seat};
 use crate::io::{ReqId, StoreCall, StoreResult};
@@ -25,7 +26,8 @@
             },
             Change::Delete { key: keys::job_key(self.seat, id) },
         ];
-        if !j.done.is_empty() {
+        // Most jobs are over before anything of them was folded: nothing is there to be deleted.
+        if j.stored {
             for c in 0..j.wire.tasks.div_ceil(CHUNK) {
                 v.push(Change::Delete { key: keys::run_key(self.seat, id, c) });
             }
@@ -35,7 +37,7 @@
 
     pub(super) fn write_final(&mut self, ctx: &mut Ctx, id: JobId, status: Status) {
         let changes = self.final_changes(id, status);
-        ctx.budget.force(changes.len());
+        ctx.budget.spend(Class::Decision, changes.len());
         let kind = OpKind::Finish { seat: self.seat, epoch: self.epoch, job: id };
         ctx.store(kind, StoreCall::Txn(Txn { conds: vec![self.mine()], changes }));
     }
@@ -101,7 +103,7 @@
         if !self.ready() || self.fold.is_some() || ctx.now < self.fold_after || !ctx.valid {
             return;
         }
-        let most = ctx.cfg.txn_ops.min(ctx.budget.available());
+        let most = ctx.cfg.txn_ops.min(ctx.budget.room(Class::Fold));
         let mut f =
             Fold { chunks: Vec::new(), acks: Vec::new(), finals: Vec::new(), rounds: Vec::new() };
         let mut changes: Vec<Change> = Vec::new();
@@ -134,6 +136,7 @@
                 break;
             }
             let chunks: Vec<u32> = std::mem::take(&mut j.dirty).into_iter().collect();
+            j.stored = true;
             for &c in &chunks {
                 let text = j.done.encode_chunk(c);
                 bytes += text.len();
@@ -159,7 +162,7 @@
             return;
         }
         self.fold_after = ctx.now + if f.finals.is_empty() { 1200 } else { FOLD_MS };
-        ctx.budget.force(changes.len());
+        ctx.budget.spend(Class::Fold, changes.len());
         self.fold = Some(f);
         let kind = OpKind::Fold { seat: self.seat, epoch: self.epoch };
         ctx.store(kind, StoreCall::Txn(Txn { conds: vec![self.mine()], changes }));
--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -93,6 +93,7 @@
             return;
         };
         if let (Some(j), Some(text)) = (self.jobs.get_mut(&id), value.as_str()) {
+            j.stored = true;
             j.done.add_chunk(chunk, text, j.wire.tasks);
         }
     }
--- a/crates/core/src/coordinator/round.rs
+++ b/crates/core/src/coordinator/round.rs
@@ -1,5 +1,6 @@
 //! A round: ask all parts for offers, write the choice under the epoch, then say yes and no.
 use super::{Choice, Coordinator, Talk, Writing, Yes, GPU_KINDS, ITEMS, OFFERS_MS};
+use crate::budget::Class;
 use crate::ctx::{Ctx, OpKind};
 use crate::ids::{Attempt, JobId, Negotiation, Now, Seat, ZoneIdx};
 use crate::io::{StoreCall, StoreResult};
@@ -284,7 +285,7 @@
             return;
         }
         w.retry_at = None;
-        ctx.budget.force(1);
+        ctx.budget.spend(Class::Decision, 1);
         let kind = OpKind::Decide { seat: self.seat, epoch: self.epoch };
         ctx.store(kind, StoreCall::Txn(w.txn.clone()));
     }
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -1,5 +1,6 @@
 //! What parts of the core need while they handle an input: the time, names, settings, who owns
 //! what, and ways to send, write, ask and answer. Below all parts, so that none needs the node.
+use crate::budget::{Budget, Class};
 use crate::ids::{seat_of_job, seat_of_machine, Epoch, JobId, MachineIdx, NodeIdx, Now, Seat};
 use crate::io::{CloudCall, OpId, Out, Output, ReqId, StoreCall, UserReply};
 use crate::jobs::{Aims, Job};
@@ -39,33 +40,6 @@
     pub aims: Aims,
 }
 
-/// Share of the store's changes per second that is this node's own.
-#[derive(Debug)]
-pub struct Budget {
-    pub(crate) tokens: f64,
-    pub(crate) per_ms: f64,
-    pub(crate) most: f64,
-    pub(crate) at: Now,
-}
-
-impl Budget {
-    pub(crate) fn refill(&mut self, now: Now) {
-        self.tokens =
-            (self.tokens + now.saturating_sub(self.at) as f64 * self.per_ms).min(self.most);
-        self.at = now;
-    }
-
-    /// What may be written without going over the share.
-    pub fn available(&self) -> usize {
-        self.tokens.max(0.0) as usize
-    }
-
-    /// Writes that do not wait: later ones wait the longer.
-    pub fn force(&mut self, n: usize) {
-        self.tokens -= n as f64;
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Ask {
     Get,
@@ -194,7 +168,7 @@
         let change = Change::Put { key: keys::BASE.into(), value: json!(newest), lease: None };
         let txn =
             Txn { conds: vec![Cond { key: keys::BASE.into(), version: 0 }], changes: vec![change] };
-        self.budget.force(1);
+        self.budget.spend(Class::Rest, 1);
         self.store(OpKind::BasePut, StoreCall::Txn(txn));
     }
 
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -43,6 +43,8 @@
     /// Durable and told: no task of it may start any more.
     pub cancelled: bool,
     pub dirty: BTreeSet<u32>,
+    /// What is done is in the store, or may be: chunks were written.
+    pub stored: bool,
     /// Done events to be acknowledged once they are durable.
     pub unfolded: Vec<DoneOn>,
     /// Being written as final.
@@ -144,6 +146,7 @@
             errors: 0,
             cancelled: false,
             dirty: BTreeSet::new(),
+            stored: false,
             unfolded: Vec::new(),
             finishing: None,
             cancel_reqs: Vec::new(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //! answer. No I/O, no clock, no async; time and randomness are passed in.
 
 pub mod bits;
+pub mod budget;
 pub mod buyer;
 pub mod coordinator;
 pub mod ctx;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,7 +1,8 @@
 //! One controller: the lease, the seats it owns, and what each input means for them.
+use crate::budget::Budget;
 use crate::buyer::Buyer;
 use crate::coordinator::Coordinator;
-use crate::ctx::{Ask, Budget, Config, Ctx, OpKind, Ops};
+use crate::ctx::{Ask, Config, Ctx, OpKind, Ops};
 use crate::ids::{Epoch, JobId, NodeIdx, Now, Seat, BUYER_SEAT};
 use crate::io::{CloudCall, CloudResult, Input, Out, Output, ReqId, StoreResult};
 use crate::jobs::Aims;
@@ -135,12 +136,7 @@
                 aims: Aims::new(&p.objectives),
             },
             names,
-            budget: Budget {
-                tokens: p.state.write_rps / n as f64,
-                per_ms: p.state.write_rps * 0.85 / n as f64 / 1000.0,
-                most: p.state.write_rps / n as f64,
-                at: now,
-            },
+            budget: Budget::new(p.state.write_rps, n, now),
             lease: Lease::default(),
             view: vec![SeatView::default(); n],
             view_known: false,
--- a/crates/core/src/node/seats.rs
+++ b/crates/core/src/node/seats.rs
@@ -1,5 +1,6 @@
 //! The lease, and which seats are acquired, kept, handed over and lost.
 use super::{Node, Owned};
+use crate::budget::Class;
 use crate::buyer::Buyer;
 use crate::coordinator::Coordinator;
 use crate::ctx::{lately, Ctx, OpKind};
@@ -35,6 +36,7 @@
             self.buyer = Some((epoch, Buyer::new(epoch, now)));
         }
         self.spread_view();
+        self.share_writes();
         let mut c = ctx!(self, out);
         if let Some(o) = &mut self.owned[i] {
             o.coordinator.tick(&mut c);
@@ -50,6 +52,12 @@
                 self.buyer = None;
             }
         }
+        self.share_writes();
+    }
+
+    fn share_writes(&mut self) {
+        let owned = self.owned.iter().flatten().count();
+        self.budget.own(owned, self.owned.len());
     }
 
     pub(super) fn drop_all(&mut self, out: &mut Out) {
@@ -186,7 +194,7 @@
                 conds: vec![Cond { key: key.clone(), version }],
                 changes: vec![Change::Put { key, value, lease: self.lease.id }],
             };
-            self.budget.force(1);
+            self.budget.spend(Class::Seats, 1);
             let mut c = ctx!(self, out);
             c.store(OpKind::Acquire(Seat(i as u8)), StoreCall::Txn(txn));
         }
@@ -210,7 +218,7 @@
                     conds: vec![Cond { key: key.clone(), version: epoch.0 }],
                     changes: vec![Change::Delete { key }],
                 };
-                self.budget.force(1);
+                self.budget.spend(Class::Seats, 1);
                 let mut c = ctx!(self, out);
                 c.store(OpKind::Release(Seat(i as u8), epoch), StoreCall::Txn(txn));
             }
--- a/crates/core/src/node/users.rs
+++ b/crates/core/src/node/users.rs
@@ -1,5 +1,6 @@
 //! Users: submissions, questions, cancellations, here or by a sibling.
 use super::{Call, Node, CALL_MS, CANCEL_CALL_MS, MOST_CALLS};
+use crate::budget::Class;
 use crate::ctx::{known, Ask, AskKind, Ctx, OpKind};
 use crate::ids::{seat_of_job, JobId};
 use crate::io::{Out, Output, ReqId, StoreCall, StoreResult};
@@ -40,6 +41,12 @@
             let mut c = ctx!(self, out);
             return c.reply_later(req, 503, 2);
         }
+        if self.budget.room(Class::Acceptance) == 0 {
+            // Known jobs' retries, too, are told later: to look them up is a request as well.
+            let after_s = self.budget.acceptance_after_s();
+            let mut c = ctx!(self, out);
+            return c.reply_later(req, 503, after_s);
+        }
         let seat = seat_of_job(id, self.view.len());
         let value = json!({"job": *job, "at": self.time_ms});
         let txn = Txn {
@@ -53,7 +60,7 @@
                 lease: None,
             }],
         };
-        self.budget.force(1);
+        self.budget.spend(Class::Acceptance, 1);
         let mut c = ctx!(self, out);
         c.store(OpKind::Submit { req, id, value }, StoreCall::Txn(txn));
     }
