Overload is refused at the door, and hard takeovers are played at the size of a fleet

Door: connections beyond the sockets get a 503 with Retry-After instead of silence; bodies above 4 KiB are let in only while there is memory for them (an eighth of the controller's); a body that does not come in time is 503, since 400 is not tried again; heads up to 16 KiB; an answer that is not read for 10 s is given up.

Simulator: faults at set times; jobs in the store from the beginning; the hard cases (60,000 closed and 6,000 open jobs and a slow store, three controllers back at 1,260 machines, 200 machines dead and 108 hung, a frozen controller, refused connections and a cut zone during a takeover) with counted bounds. Three sabotaged variants, each caught: machines called lost too early, a decision forgotten, a rental name used twice.

--- a/crates/leaddeal/src/door.rs
+++ b/crates/leaddeal/src/door.rs
@@ -1,6 +1,6 @@
 //! What users, workers and the load balancer reach.
 use crate::driver::{Event, Reply};
-use axum::body::Body;
+use crate::slow::Patient;
 use axum::extract::{Path, Request, State};
 use axum::http::{header, StatusCode};
 use axum::response::{IntoResponse, Response};
@@ -13,23 +13,35 @@
 use leaddeal_core::Input;
 use leaddeal_wire::user::{self, Job};
 use leaddeal_wire::worker::{self, Redirect, Report};
+use std::error::Error;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Semaphore};
 use tokio::time::timeout;
 
 const REPORT_BODY: usize = 256 * 1024;
 const BODY_LIMIT: Duration = Duration::from_secs(4);
 const ANSWER_LIMIT: Duration = Duration::from_millis(4200);
 const IDLE: Duration = Duration::from_secs(25);
+/// An answer that is not read for so long is given up.
+const UNREAD: Duration = Duration::from_secs(10);
+/// The head of a request, and what is read of its body at a time.
+const HEAD: usize = 16 * 1024;
+/// Bodies up to this size come in at any time; larger ones only while there is memory for them.
+const SMALL_BODY: usize = 4 * 1024;
+/// What is said to a connection beyond those allowed, which is then closed.
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\nContent-Length: 0\r\n\
+Connection: close\r\n\r\n";
 
 #[derive(Clone)]
 pub struct Door {
     pub events: mpsc::Sender<Event>,
     pub healthy: Arc<AtomicBool>,
     pub next_req: Arc<AtomicU64>,
+    /// KiB for larger bodies that are coming in.
+    pub room: Arc<Semaphore>,
 }
 
 fn text(status: u16, why: &str) -> Response {
@@ -75,13 +87,55 @@
     }
 }
 
-async fn body(b: Body, most: usize) -> Option<Bytes> {
-    timeout(BODY_LIMIT, axum::body::to_bytes(b, most)).await.ok()?.ok()
+/// Why there is no body.
+enum NoBody {
+    TooLarge,
+    /// It did not come in time, or there is no memory for it now.
+    NotNow,
+}
+
+impl NoBody {
+    /// Only what is wrong for good may be told 400: that is not tried again.
+    fn response(&self) -> Response {
+        match self {
+            NoBody::TooLarge => text(400, "the body is too large"),
+            NoBody::NotNow => later(1),
+        }
+    }
+}
+
+impl Door {
+    /// Reads a body of at most so many bytes. (Every connection could bring one of the largest at
+    /// the same time, which is more than a controller has.)
+    async fn body(&self, req: Request, most: usize) -> Result<Bytes, NoBody> {
+        let said = req.headers().get(header::CONTENT_LENGTH);
+        let said = said.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+        let bytes = said.unwrap_or(most);
+        if bytes > most {
+            return Err(NoBody::TooLarge);
+        }
+        let _held = if bytes > SMALL_BODY {
+            let kib = bytes.div_ceil(1024) as u32;
+            Some(self.room.try_acquire_many(kib).map_err(|_| NoBody::NotNow)?)
+        } else {
+            None
+        };
+        match timeout(BODY_LIMIT, axum::body::to_bytes(req.into_body(), most)).await {
+            Ok(Ok(bytes)) => Ok(bytes),
+            Ok(Err(e)) if too_large(&e) => Err(NoBody::TooLarge),
+            Ok(Err(_)) | Err(_) => Err(NoBody::NotNow),
+        }
+    }
+}
+
+fn too_large(e: &axum::Error) -> bool {
+    e.source().is_some_and(|s| s.is::<http_body_util::LengthLimitError>())
 }
 
 async fn submit(State(d): State<Door>, req: Request) -> Response {
-    let Some(bytes) = body(req.into_body(), user::MAX_BODY).await else {
-        return text(400, "the body is too large or did not come");
+    let bytes = match d.body(req, user::MAX_BODY).await {
+        Ok(b) => b,
+        Err(e) => return e.response(),
     };
     let job = Job::parse(&bytes).map(Box::new);
     let id = match &job {
@@ -110,8 +164,9 @@
 }
 
 async fn report(State(d): State<Door>, req: Request) -> Response {
-    let Some(bytes) = body(req.into_body(), REPORT_BODY).await else {
-        return text(400, "the body is too large or did not come");
+    let bytes = match d.body(req, REPORT_BODY).await {
+        Ok(b) => b,
+        Err(e) => return e.response(),
     };
     let report: Report = match serde_json::from_slice(&bytes) {
         Ok(r) => r,
@@ -157,6 +212,8 @@
             continue;
         };
         if Arc::strong_count(&open) > most {
+            // What it can take at once; a new connection takes this much.
+            let _ = s.try_write(FULL);
             continue;
         }
         let _ = s.set_nodelay(true);
@@ -166,8 +223,8 @@
             let _ = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE)
-                .max_buf_size(64 * 1024)
-                .serve_connection(TokioIo::new(s), service)
+                .max_buf_size(HEAD)
+                .serve_connection(TokioIo::new(Patient::new(s, UNREAD)), service)
                 .await;
             drop(held);
         });
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Semaphore};
 
 /// The core's clock starts here and not at 0, so that a job submitted before this process
 /// started has a time of its own on it: else all were new again after a restart, and their order
@@ -54,6 +54,14 @@
     replies: HashMap<ReqId, oneshot::Sender<Reply>>,
 }
 
+/// Memory for the bodies of requests, in KiB: an eighth of what the controller has.
+fn body_room_kib(memory_mb: f64) -> usize {
+    match memory_mb {
+        m if m > 0.0 => ((m * 128.0) as usize).max(1024),
+        _ => 8 * 1024,
+    }
+}
+
 fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
@@ -75,6 +83,7 @@
         events: tx.clone(),
         healthy: healthy.clone(),
         next_req: Arc::new(AtomicU64::new(1)),
+        room: Arc::new(Semaphore::new(body_room_kib(s.params.limits.memory_mb))),
     };
     let most = match s.params.limits.max_connections {
         0 => 1000,
--- a/crates/leaddeal/src/main.rs
+++ b/crates/leaddeal/src/main.rs
@@ -8,6 +8,7 @@
 mod door;
 mod driver;
 mod link;
+mod slow;
 
 #[derive(Parser)]
 #[command(name = "leaddeal", version, about = "A cluster scheduler: runs jobs on rented machines")]
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,6 +2,7 @@
 //! simulator that drives real cores against them; and a checker of every rule.
 
 pub mod rules;
+pub mod script;
 pub mod sim;
 pub mod state;
 pub mod tally;
--- /dev/null
+++ b/crates/testkit/src/script.rs
@@ -0,0 +1,38 @@
+//! Faults at set times, for the hard cases of takeover and recovery, and how long it took.
+
+/// What fails, for how long in milliseconds.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// These controllers end and come back.
+    Crash { nodes: Vec<usize>, back_ms: u64 },
+    /// So many machines die at once, the first by name.
+    Die { machines: usize },
+    /// So many machines hang, from the last by name.
+    Hang { machines: usize, ms: u64 },
+    /// A controller gets no processor time.
+    Freeze { node: usize, ms: u64 },
+    /// Controllers refuse each other's connections.
+    Apart { ms: u64 },
+    /// The state service answers so much later.
+    SlowStore { ms: u64, by_ms: u64 },
+    /// Nothing gets out of a zone or into it; what was sent is held back.
+    CutZone { zone: &'static str, ms: u64 },
+}
+
+/// When what happened, in simulated milliseconds.
+#[derive(Debug, Default)]
+pub struct Marks {
+    /// A controller has loaded a seat.
+    pub loaded: Vec<(u64, usize)>,
+    /// A task started, by task and machine: when it was first reported to run.
+    pub pages: u64,
+    pub store_calls: u64,
+}
+
+impl Marks {
+    /// The last seat loaded after that time, and how many were.
+    pub fn loaded_after(&self, at: u64) -> (u64, usize) {
+        let later = self.loaded.iter().filter(|l| l.0 > at);
+        (later.clone().map(|l| l.0).max().unwrap_or(0), later.count())
+    }
+}
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -1,24 +1,28 @@
 //! The seeded simulator: three cores, late, lost and held messages, crashes, hung machines,
 //! outages. Time is simulated; the same seed gives the same run.
 use crate::rules::Rules;
-use crate::state::State;
+use crate::script::{Fault, Marks};
+use crate::state::{Broken, State};
 use crate::tally::Tally;
 use crate::worker::Worker;
-use leaddeal_core::ids::JobId;
+use leaddeal_core::ids::{seat_of_job, JobId};
 use leaddeal_core::io::{
     CloudCall, CloudResult, DirectOutcome, Input, Output, StoreCall, StoreResult, WorkerReply,
 };
-use leaddeal_core::Node;
-use leaddeal_wire::cloud::{Catalog, Listed, ListedStatus, Listing, MachineType};
+use leaddeal_core::{keys, Node};
+use leaddeal_wire::cloud::{Catalog, Listed, ListedStatus, Listing, MachineType, Rent};
 use leaddeal_wire::settings::Settings;
-use leaddeal_wire::user::{parse_job_id, Job, Kind, Priority};
-use leaddeal_wire::worker::{Answer, Report};
+use leaddeal_wire::state::{Change, Txn};
+use leaddeal_wire::user::{parse_job_id, Job, Kind, Priority, Status};
+use leaddeal_wire::worker::{Answer, Report, TaskState};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
-const NODES: usize = 3;
+pub const NODES: usize = 3;
+/// Time of the beginning.
+pub const BEGIN: u64 = 10_000;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
 /// What is broken on purpose, to see that the checker notices.
@@ -29,6 +33,14 @@
     NoFence,
     /// The core believes that workers' leases are much shorter than they are.
     ShortLease,
+    /// The cores' clocks run three times too fast: after a takeover a silent machine is called
+    /// lost while its lease still runs.
+    HastyClock,
+    /// The state service forgets decisions, as if they were folded away before what became of
+    /// them is durable.
+    LostDecisions,
+    /// Requests for machines are named without the epoch, so that a new buyer uses old names.
+    NameTwice,
 }
 
 #[derive(Clone, Debug)]
@@ -45,6 +57,11 @@
     /// So many times the usual submissions.
     pub rate: u32,
     pub counted: bool,
+    /// Faults at set times, in milliseconds from the beginning.
+    pub script: Vec<(u64, Fault)>,
+    /// Jobs that are in the store from the beginning: over, and open.
+    pub closed: u64,
+    pub open: u64,
 }
 
 impl Plan {
@@ -59,6 +76,9 @@
             array: 12,
             rate: 1,
             counted: false,
+            script: Vec::new(),
+            closed: 0,
+            open: 0,
         }
     }
 
@@ -88,6 +108,7 @@
     Up(String),
     Restart(usize),
     Fault,
+    Scripted(Fault),
     UserNext,
     Poll(String),
     Cancel(String),
@@ -116,13 +137,17 @@
     /// A node without processor time until then: what comes for it waits.
     stalled: Vec<u64>,
     apart_until: u64,
+    slow_store: (u64, u64),
+    zone_cut: (&'static str, u64),
+    pub marks: Marks,
     /// What went into the cores and came out, if that is counted.
     pub tally: Option<Tally>,
     looks: u64,
     outage_until: u64,
     state: State,
     workers: BTreeMap<String, Worker>,
-    rented: HashMap<String, Vec<String>>,
+    /// By the request's name: what was asked for and given.
+    rented: HashMap<String, (Rent, Vec<String>)>,
     next_machine: u64,
     spare: u32,
     reqs: HashMap<(usize, u64, u64), Req>,
@@ -187,7 +212,7 @@
         let mut s = Sim {
             trace: std::env::var("LEADDEAL_TRACE").is_ok(),
             rng: SmallRng::seed_from_u64(plan.seed),
-            now: 10_000,
+            now: BEGIN,
             order: 0,
             queue: BinaryHeap::new(),
             events: HashMap::new(),
@@ -197,10 +222,17 @@
             blind: vec![false; NODES],
             stalled: vec![0; NODES],
             apart_until: 0,
+            slow_store: (0, 0),
+            zone_cut: ("", 0),
+            marks: Marks::default(),
             tally: plan.counted.then(Tally::default),
             looks: 0,
             outage_until: 0,
-            state: State::new(plan.sabotage == Sabotage::NoFence),
+            state: State::new(match plan.sabotage {
+                Sabotage::NoFence => Broken::Conditions,
+                Sabotage::LostDecisions => Broken::Decisions,
+                _ => Broken::Nothing,
+            }),
             workers: BTreeMap::new(),
             rented: HashMap::new(),
             next_machine: 0,
@@ -219,9 +251,13 @@
             let kind = if s.plan.scale > 1 && i % 5 == 4 { "gpu" } else { "small" };
             s.boot_machine(&name, kind, ZONES[i % 3], i % 4 == 3);
         }
+        s.preload();
         for n in 0..NODES {
             s.start(n);
         }
+        for (at, f) in s.plan.script.clone() {
+            s.at(at, Ev::Scripted(f));
+        }
         s.at(2000, Ev::UserNext);
         if s.plan.faults {
             s.at(8000, Ev::Fault);
@@ -229,6 +265,112 @@
         s
     }
 
+    /// Puts jobs into the store as controllers before these would have left them.
+    fn preload(&mut self) {
+        if self.plan.open + self.plan.closed == 0 {
+            return;
+        }
+        self.state.page = 300;
+        let put = |state: &mut State, key: String, value| {
+            let change = Change::Put { key, value, lease: None };
+            state.call(0, &StoreCall::Txn(Txn { conds: Vec::new(), changes: vec![change] }));
+        };
+        for n in 0..self.plan.closed {
+            let id = JobId(900_000 + n);
+            let key = keys::final_key(seat_of_job(id, NODES), id);
+            put(&mut self.state, key, keys::final_value(Status::Done, 1));
+        }
+        for n in 0..self.plan.open {
+            let id = JobId(800_000 + n);
+            let job = Job { id: leaddeal_wire::user::job_id(id.0), ..self.waiting_job() };
+            let value = serde_json::json!({"job": job, "at": self.now});
+            put(&mut self.state, keys::job_key(seat_of_job(id, NODES), id), value);
+            self.rules.accepted.insert(job.id.clone());
+            self.rules.jobs.insert(job.id.clone(), job);
+        }
+    }
+
+    /// Of a type that nobody rents: it is there, and stays there.
+    fn waiting_job(&self) -> Job {
+        Job {
+            id: String::new(),
+            class: "x".into(),
+            team: "free".into(),
+            kind: Kind::Array,
+            priority: Priority::Low,
+            tasks: 3,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i-0".into(),
+            image_gb: 1.0,
+            types: Some(vec!["none".into()]),
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 5.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    /// Tasks of services that are wanted and run nowhere.
+    pub fn replicas_missing(&self) -> usize {
+        let asked = &self.rules.cancel_asked;
+        let wanted = self.rules.jobs.values().filter(|j| {
+            j.kind == Kind::Service && self.rules.accepted.contains(&j.id) && !asked.contains(&j.id)
+        });
+        let mut running: BTreeSet<&str> = BTreeSet::new();
+        for w in self.workers.values().filter(|w| !w.gone && self.now >= w.hang_until) {
+            let on = w.tasks.iter().filter(|(_, t)| t.state == TaskState::Running);
+            running.extend(on.map(|((task, _), _)| task.as_str()));
+        }
+        wanted
+            .flat_map(|j| (0..j.tasks).map(move |t| format!("{}/{t}", j.id)))
+            .filter(|t| !running.contains(t.as_str()))
+            .count()
+    }
+
+    fn scripted(&mut self, f: Fault) {
+        match f {
+            Fault::Crash { nodes, back_ms } => {
+                for n in nodes {
+                    if self.nodes[n].take().is_some() {
+                        self.at(back_ms, Ev::Restart(n));
+                    }
+                }
+            }
+            Fault::Die { machines } => {
+                for w in self.workers.values_mut().filter(|w| !w.gone).take(machines) {
+                    w.gone = true;
+                    w.tasks.clear();
+                }
+            }
+            Fault::Hang { machines, ms } => {
+                for w in self.workers.values_mut().filter(|w| !w.gone).rev().take(machines) {
+                    w.hang_until = self.now + ms;
+                }
+            }
+            Fault::Freeze { node, ms } => self.stalled[node] = self.now + ms,
+            Fault::Apart { ms } => self.apart_until = self.now + ms,
+            Fault::SlowStore { ms, by_ms } => self.slow_store = (self.now + ms, by_ms),
+            Fault::CutZone { zone, ms } => self.zone_cut = (zone, self.now + ms),
+        }
+    }
+
+    /// So long what goes between controllers and that machine is held back.
+    fn held_back(&self, machine: &str) -> u64 {
+        let (zone, until) = self.zone_cut;
+        let inside = self.workers.get(machine).is_some_and(|w| w.zone == zone);
+        if inside {
+            until.saturating_sub(self.now)
+        } else {
+            0
+        }
+    }
+
     fn machine_name(&mut self) -> String {
         self.next_machine += 1;
         format!("n-{:06}", self.next_machine)
@@ -276,7 +418,8 @@
     fn step(&mut self, n: usize, input: Input) -> Result<(), String> {
         // Steady clocks drift apart by up to 0.05%.
         let ran = self.now - self.boots[n].0;
-        let now = ran + ran * n as u64 / 4000 + 1;
+        let hasty = if self.plan.sabotage == Sabotage::HastyClock { 3 } else { 1 };
+        let now = (ran + ran * n as u64 / 4000) * hasty + 1;
         let Some(node) = self.nodes[n].as_mut() else { return Ok(()) };
         if let Some(t) = &mut self.tally {
             t.input(&input);
@@ -348,7 +491,7 @@
                 call => self.at(lag, Ev::Store(n, boot, op, call)),
             },
             Output::Cloud { op, call } => {
-                let result = if self.cut[n] { CloudResult::Refused } else { self.cloud(call) };
+                let result = if self.cut[n] { CloudResult::Refused } else { self.cloud(call)? };
                 self.at(80 + lag, Ev::In(n, boot, Input::Cloud { op, result }));
             }
             Output::Orders { machine, batch, direct, .. } => {
@@ -369,6 +512,9 @@
                 self.at(lag + held, Ev::Direct(n, boot, machine, batch, direct, lose));
             }
             Output::Log(_, event, what) => {
+                if event == "seat_loaded" {
+                    self.marks.loaded.push((self.now, n));
+                }
                 if self.trace {
                     eprintln!("{} n-{n} {event} {what}", self.now);
                 }
@@ -377,19 +523,27 @@
         Ok(())
     }
 
-    fn cloud(&mut self, call: CloudCall) -> CloudResult {
-        match call {
+    fn cloud(&mut self, call: CloudCall) -> Result<CloudResult, String> {
+        Ok(match call {
             CloudCall::Catalog => CloudResult::Catalog(Catalog { types: types(self.plan.scale) }),
-            CloudCall::Rent(r) => {
-                if let Some(names) = self.rented.get(&r.request) {
-                    return CloudResult::Rented(names.clone());
+            CloudCall::Rent(mut r) => {
+                if self.plan.sabotage == Sabotage::NameTwice {
+                    r.request = r.request.rsplit('-').next().unwrap_or_default().to_string();
+                }
+                // Asked again for the same, it answers the same; for something else, the name is
+                // used twice, and whoever asked gets machines that it did not ask for.
+                if let Some((first, names)) = self.rented.get(&r.request) {
+                    if *first != r {
+                        return Err(format!("name_reused: {} for {first:?} and {r:?}", r.request));
+                    }
+                    return Ok(CloudResult::Rented(names.clone()));
                 }
                 if self.spare == 0 {
-                    return CloudResult::NoCapacity;
+                    return Ok(CloudResult::NoCapacity);
                 }
                 self.spare -= 1;
                 let name = self.machine_name();
-                self.rented.insert(r.request, vec![name.clone()]);
+                self.rented.insert(r.request.clone(), (r.clone(), vec![name.clone()]));
                 let up = format!("{name} {} {} {}", r.zone, r.spot, r.type_name);
                 self.at(5000, Ev::Up(up));
                 CloudResult::Rented(vec![name])
@@ -421,7 +575,7 @@
                     .collect(),
                 more: false,
             }),
-        }
+        })
     }
 
     fn random_job(&mut self) -> Job {
@@ -516,7 +670,11 @@
                 if self.plan.faults && self.rng.random_range(0..60) == 0 {
                     result = StoreResult::Unknown;
                 }
-                let lag = if matches!(result, StoreResult::Unknown) { 2000 } else { self.lag() };
+                self.marks.store_calls += 1;
+                self.marks.pages += u64::from(matches!(result, StoreResult::Page(_)));
+                let slow = if self.now < self.slow_store.0 { self.slow_store.1 } else { 0 };
+                let known = !matches!(result, StoreResult::Unknown);
+                let lag = if known { self.lag() + slow } else { 2000 };
                 self.at(lag, Ev::In(n, boot, Input::Store { op, result }));
             }
             Ev::Watch(n, boot, op, prefix, after, until) => {
@@ -538,6 +696,11 @@
             }
             Ev::Worker(m) => self.worker(&m)?,
             Ev::Report(n, m, sent, r) => {
+                let held = self.held_back(&m);
+                if held > 0 {
+                    self.at(held, Ev::Report(n, m, sent, r));
+                    return Ok(());
+                }
                 if self.nodes[n].is_some() && !self.cut[n] {
                     self.next_req += 1;
                     let req = self.next_req;
@@ -549,6 +712,16 @@
             }
             Ev::Answered(m, sent, session, reply) => self.answered(&m, sent, session, reply),
             Ev::Direct(n, boot, m, batch, d, lost) => {
+                let held = self.held_back(&m);
+                if held > 0 {
+                    if !lost {
+                        let outcome = DirectOutcome::Unknown;
+                        let input = Input::Orders { machine: m.clone(), batch, outcome };
+                        self.at(2500, Ev::In(n, boot, input));
+                    }
+                    self.at(held, Ev::Direct(n, boot, m, batch, d, true));
+                    return Ok(());
+                }
                 let jobs = &self.rules.jobs;
                 let Some(w) = self.workers.get_mut(&m) else { return Ok(()) };
                 if w.gone {
@@ -595,6 +768,7 @@
             }
             Ev::Restart(n) => self.start(n),
             Ev::Fault => self.fault(),
+            Ev::Scripted(f) => self.scripted(f),
             Ev::UserNext => {
                 let j = self.random_job();
                 self.rules.jobs.insert(j.id.clone(), j.clone());
@@ -663,6 +837,9 @@
     }
 
     fn answered(&mut self, m: &str, sent: u64, session: u64, reply: Option<WorkerReply>) {
+        if self.held_back(m) > 0 {
+            return;
+        }
         let now = self.now;
         let Some(w) = self.workers.get_mut(m) else { return };
         if w.gone || now < w.hang_until || w.in_flight != Some(sent) {
@@ -754,12 +931,18 @@
 
     /// Runs to the end of the plan; an error names the broken rule and how to see it again.
     pub fn run(&mut self) -> Result<(), String> {
-        let end = self.now + self.plan.seconds * 1000;
+        self.run_to(self.plan.seconds * 1000)
+    }
+
+    /// Runs until so many milliseconds after the beginning.
+    pub fn run_to(&mut self, ms: u64) -> Result<(), String> {
+        let end = BEGIN + ms;
         let mut outage = false;
-        while let Some(Reverse((t, id))) = self.queue.pop() {
+        while let Some(&Reverse((t, id))) = self.queue.peek() {
             if t > end {
                 break;
             }
+            self.queue.pop();
             self.now = t;
             if outage && t >= self.outage_until {
                 self.state.renew_all(t);
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -3,6 +3,17 @@
 use leaddeal_wire::state::{Change, Event, Events, Item, Page};
 use std::collections::BTreeMap;
 
+/// What is broken on purpose, to see that the checker notices.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Broken {
+    #[default]
+    Nothing,
+    /// Conditions are not looked at.
+    Conditions,
+    /// Decisions are not kept.
+    Decisions,
+}
+
 #[derive(Default)]
 pub struct State {
     pub revision: u64,
@@ -10,13 +21,14 @@
     leases: BTreeMap<u64, (u64, u64)>,
     next_lease: u64,
     log: Vec<Event>,
-    /// Broken on purpose: conditions are not looked at.
-    ignore_conditions: bool,
+    broken: Broken,
+    /// Items a page: few, so that reading on is exercised.
+    pub page: usize,
 }
 
 impl State {
-    pub fn new(ignore_conditions: bool) -> State {
-        State { ignore_conditions, ..State::default() }
+    pub fn new(broken: Broken) -> State {
+        State { broken, page: 5, ..State::default() }
     }
 
     /// Ends leases that ran out.
@@ -96,7 +108,7 @@
                     .filter(|c| self.keys.get(&c.key).map_or(0, |i| i.version) != c.version)
                     .map(|c| c.key.clone())
                     .collect();
-                if !failed.is_empty() && !self.ignore_conditions {
+                if !failed.is_empty() && self.broken != Broken::Conditions {
                     return StoreResult::Conflict(failed);
                 }
                 let dead = t.changes.iter().any(|c| match c {
@@ -109,6 +121,8 @@
                 self.revision += 1;
                 for c in &t.changes {
                     match c {
+                        Change::Put { key, .. }
+                            if self.broken == Broken::Decisions && key.starts_with("d/") => {}
                         Change::Put { key, value, lease } => {
                             let item = Item {
                                 key: key.clone(),
@@ -131,15 +145,16 @@
             }
             StoreCall::Get { key } => StoreResult::Item(self.keys.get(key).cloned()),
             StoreCall::List { prefix, after } => {
-                // Small pages, so that reading on is exercised.
-                let all: Vec<&Item> = self
-                    .keys
-                    .values()
-                    .filter(|i| i.key.starts_with(prefix.as_str()))
+                let from = after.as_ref().filter(|a| *a >= prefix).unwrap_or(prefix);
+                let under = self.keys.range(from.clone()..).map(|x| x.1);
+                let mut items: Vec<Item> = under
+                    .take_while(|i| i.key.starts_with(prefix.as_str()))
                     .filter(|i| after.as_ref().is_none_or(|a| i.key > *a))
+                    .take(self.page + 1)
+                    .cloned()
                     .collect();
-                let more = all.len() > 5;
-                let items = all.into_iter().take(5).cloned().collect();
+                let more = items.len() > self.page;
+                items.truncate(self.page);
                 StoreResult::Page(Page { items, more, revision: self.revision })
             }
             StoreCall::Watch { .. } => StoreResult::Refused,
--- /dev/null
+++ b/crates/testkit/tests/recovery.rs
@@ -0,0 +1,108 @@
+//! The hard cases of takeover and recovery at the size of a fleet, with counted bounds. The rules
+//! are checked after each step, as everywhere.
+use leaddeal_testkit::script::Fault;
+use leaddeal_testkit::sim::{Plan, Sim, BEGIN, NODES};
+
+/// A fleet of 90 machines, times so many, and the faults.
+fn fleet(times: u32, seconds: u64, script: Vec<(u64, Fault)>) -> Sim {
+    Sim::new(Plan { seconds, script, ..Plan::fleet(7, times) })
+}
+
+fn run(sim: &mut Sim, ms: u64) {
+    sim.run_to(ms).unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn pages(sim: &Sim) -> u64 {
+    sim.marks.pages
+}
+
+/// What is over is not read again, and open jobs are read in pages: a seat with 20,000 closed and
+/// 2,000 open jobs is there soon, also while the state service answers slowly.
+#[test]
+fn a_seat_with_a_long_past_is_loaded_by_what_is_open() {
+    let slow = Fault::SlowStore { ms: 60_000, by_ms: 300 };
+    let crash = Fault::Crash { nodes: vec![0], back_ms: 120_000 };
+    let script = vec![(20_000, slow), (20_000, crash)];
+    let few = Plan { seconds: 60, script, open: 6000, closed: 600, ..Plan::fleet(7, 1) };
+    let many = Plan { closed: 60_000, ..few.clone() };
+    let read = |plan: Plan| {
+        let mut sim = Sim::new(plan);
+        run(&mut sim, 20_000);
+        let before = pages(&sim);
+        run(&mut sim, 45_000);
+        let (at, seats) = sim.marks.loaded_after(BEGIN + 20_000);
+        assert_eq!(seats, 1, "the seat of the dead one is loaded");
+        (at - BEGIN - 20_000, pages(&sim) - before)
+    };
+    let (few, many) = (read(few), read(many));
+    println!("ms to load and pages: {few:?} with few closed jobs, {many:?} with many");
+    assert!(many.1 <= 20, "{} pages for 2,000 open jobs", many.1);
+    assert_eq!(few.1, many.1, "closed jobs are not read");
+    assert!(many.0 < 14_000, "{} ms, of which the lease takes 4,000", many.0);
+}
+
+/// All controllers end and come back at once, and every worker of 1,260 knocks.
+#[test]
+fn three_controllers_come_back_to_a_fleet_that_knocks() {
+    let all = Fault::Crash { nodes: (0..NODES).collect(), back_ms: 3000 };
+    let mut sim = fleet(14, 40, vec![(20_000, all)]);
+    run(&mut sim, 20_000);
+    let calls = sim.marks.store_calls;
+    run(&mut sim, 32_000);
+    let (at, seats) = sim.marks.loaded_after(BEGIN + 20_000);
+    println!("all seats loaded {} ms after the crash", at - BEGIN - 20_000);
+    assert_eq!(seats, NODES, "each seat is loaded once");
+    assert!(at < BEGIN + 20_000 + 9000, "{} ms", at - BEGIN - 20_000);
+    let calls = sim.marks.store_calls - calls;
+    assert!(calls < 2500, "{calls} calls of the state service in 12 s");
+}
+
+/// A third of the machines dies in one second while others hang for longer than a lease: what
+/// ran there runs elsewhere as soon as it is proven gone.
+#[test]
+fn replicas_of_dead_and_hung_machines_run_again() {
+    let die = Fault::Die { machines: 200 };
+    let hang = Fault::Hang { machines: 108, ms: 14_000 };
+    let mut sim = fleet(7, 60, vec![(20_000, die), (20_000, hang)]);
+    run(&mut sim, 19_900);
+    let usual = sim.replicas_missing();
+    run(&mut sim, 20_200);
+    let lost = sim.replicas_missing();
+    let mut at = 20_200;
+    while sim.replicas_missing() > usual + lost / 20 && at < 50_000 {
+        at += 250;
+        run(&mut sim, at);
+    }
+    println!("{lost} replicas missing, {usual} before; back after {} ms", at - 20_000);
+    assert!(lost > usual + 20, "too few were lost to say anything: {lost}");
+    // The lease takes 8 s; then the image and a start.
+    assert!(at < 20_000 + 16_000, "{} ms", at - 20_000);
+}
+
+/// A controller without processor time for 40 s wakes up with all that came meanwhile, and neither
+/// acts on it under its old epoch nor falls over it.
+#[test]
+fn a_frozen_controller_wakes_up_with_a_backlog() {
+    let freeze = Fault::Freeze { node: 0, ms: 40_000 };
+    let mut sim = fleet(4, 90, vec![(20_000, freeze)]);
+    run(&mut sim, 75_000);
+    let (_, seats) = sim.marks.loaded_after(BEGIN + 20_000);
+    assert!((2..=4).contains(&seats), "taken over, and given back: {seats} seats loaded");
+}
+
+/// Controllers refuse each other's connections while a seat is taken over, and a zone is cut off
+/// while a seat moves.
+#[test]
+fn takeovers_while_connections_fail() {
+    let crash = Fault::Crash { nodes: vec![1], back_ms: 8000 };
+    let apart = Fault::Apart { ms: 25_000 };
+    let cut = Fault::CutZone { zone: "b", ms: 20_000 };
+    for faults in [vec![apart.clone()], vec![cut.clone()], vec![apart, cut]] {
+        let script = faults.into_iter().map(|f| (19_000, f)).chain([(20_000, crash.clone())]);
+        let mut sim = fleet(3, 70, script.collect());
+        run(&mut sim, 70_000);
+        let (_, seats) = sim.marks.loaded_after(BEGIN + 20_000);
+        assert!(seats >= 2, "the seat was taken over and went home: {seats}");
+        assert!(sim.rules.starts > 500, "only {} starts", sim.rules.starts);
+    }
+}
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -80,3 +80,18 @@
     // Which rule breaks first depends on the seed: what counts is that one does.
     caught(Sabotage::NoFence, ":");
 }
+
+#[test]
+fn a_takeover_that_calls_machines_lost_too_early_is_caught() {
+    caught(Sabotage::HastyClock, "ran_twice");
+}
+
+#[test]
+fn a_decision_forgotten_too_early_is_caught() {
+    caught(Sabotage::LostDecisions, "ran_twice");
+}
+
+#[test]
+fn a_rental_name_used_twice_is_caught() {
+    caught(Sabotage::NameTwice, "name_reused");
+}
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -35,7 +35,7 @@
     pub zones: Vec<String>,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Rent {
     #[serde(rename = "charterRequest")]
     pub request: String,
