Submissions go by what the service refuses; one type for writes; no circle at the door

The new write budget refused new jobs by a node's own share, while the service had room, since other nodes used less.

Change: new jobs are refused for want of budget only within 1.5 s after the service itself refused to write. Beside it, nothing of behaviour: a transaction under a seat's epoch and what is known of its outcome is one type (writes.rs) for decisions, folds and final states; door, driver and links share event.rs instead of importing one another.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -13,7 +13,8 @@
     Seats,
     /// Choices, and cancellations that somebody waits for. Never wait; later ones wait the longer.
     Decision,
-    /// New jobs: refused at once when two seconds' worth were written ahead.
+    /// New jobs: refused at once when two seconds' worth were written ahead, and the service has
+    /// refused something just now.
     Acceptance,
     /// Final states and what is done: wait for their turn.
     Fold,
@@ -24,6 +25,9 @@
 /// Of the service's limit this much is used, since clocks and bursts differ.
 const USED: f64 = 0.85;
 
+/// A refusal says this much about the time after it.
+const TIGHT_MS: u64 = 1500;
+
 #[derive(Debug)]
 pub struct Budget {
     /// Changes that may be written now; below 0, what was written ahead.
@@ -33,13 +37,15 @@
     share: f64,
     at: Now,
     spent: [u64; 5],
+    /// The service is over its limit until about then.
+    tight_until: Now,
 }
 
 impl Budget {
     /// `limit` changes a second for all of `nodes` together.
     pub fn new(limit: f64, nodes: usize, now: Now) -> Budget {
         let share = 1.0 / nodes.max(1) as f64;
-        Budget { tokens: limit * share, limit, share, at: now, spent: [0; 5] }
+        Budget { tokens: limit * share, limit, share, at: now, spent: [0; 5], tight_until: 0 }
     }
 
     fn most(&self) -> f64 {
@@ -61,6 +67,9 @@
     pub fn room(&self, class: Class) -> usize {
         let left = match class {
             Class::Seats | Class::Decision => return usize::MAX,
+            // Others may use less than their share: (found by a full score) to go by the own share
+            // alone refused one submission in eight to a service that had room.
+            Class::Acceptance if self.at >= self.tight_until => return usize::MAX,
             Class::Acceptance => self.tokens + 2.0 * self.most(),
             Class::Fold => self.tokens,
             Class::Rest => self.tokens - self.most() / 2.0,
@@ -68,6 +77,11 @@
         left.max(0.0) as usize
     }
 
+    /// The service has refused to write.
+    pub fn refused(&mut self, now: Now) {
+        self.tight_until = now + TIGHT_MS;
+    }
+
     /// Counts what is written, whether there was room for it or not.
     pub fn spend(&mut self, class: Class, n: usize) {
         self.tokens -= n as f64;
@@ -100,6 +114,8 @@
         while b.room(Class::Fold) > 0 {
             b.spend(Class::Fold, 1);
         }
+        assert_eq!(b.room(Class::Acceptance), usize::MAX, "the service has refused nothing");
+        b.refused(0);
         assert!(b.room(Class::Acceptance) >= 79);
         while b.room(Class::Acceptance) > 0 {
             b.spend(Class::Acceptance, 1);
@@ -112,6 +128,8 @@
         assert!(wrote <= 120, "{wrote}");
         b.refill(1000);
         assert_eq!((b.room(Class::Fold), b.room(Class::Acceptance)), (0, 34));
+        b.refill(TIGHT_MS);
+        assert_eq!(b.room(Class::Acceptance), usize::MAX);
     }
 
     #[test]
--- a/crates/core/src/coordinator/finish.rs
+++ b/crates/core/src/coordinator/finish.rs
@@ -4,11 +4,12 @@
 use crate::budget::Class;
 use crate::ctx::{Ctx, OpKind};
 use crate::ids::{JobId, Seat};
-use crate::io::{ReqId, StoreCall, StoreResult};
+use crate::io::{ReqId, StoreResult};
 use crate::jobs::{job_state, DoneOn};
 use crate::keys;
+use crate::writes::Outcome;
 use leaddeal_wire::mesh::{AttemptRef, SeatMsg};
-use leaddeal_wire::state::{Change, Txn};
+use leaddeal_wire::state::Change;
 use leaddeal_wire::user::{JobState, Status};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -37,19 +38,29 @@
 
     pub(super) fn write_final(&mut self, ctx: &mut Ctx, id: JobId, status: Status) {
         let changes = self.final_changes(id, status);
-        ctx.budget.spend(Class::Decision, changes.len());
-        let kind = OpKind::Finish { seat: self.seat, epoch: self.epoch, job: id };
-        ctx.store(kind, StoreCall::Txn(Txn { conds: vec![self.mine()], changes }));
+        let mut write = self.write(Class::Decision, changes);
+        if let Some(call) = write.call(ctx.now, ctx.budget) {
+            let kind = OpKind::Finish { seat: self.seat, epoch: self.epoch, job: id };
+            ctx.store(kind, call);
+        }
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.final_write = Some(write);
+        }
     }
 
     /// Outcome of writing a cancellation. False: the seat is lost.
-    pub fn finished(&mut self, ctx: &mut Ctx, id: JobId, result: StoreResult) -> bool {
-        match result {
-            StoreResult::Committed(_) => {
+    pub fn finished(&mut self, ctx: &mut Ctx, id: JobId, result: &StoreResult) -> bool {
+        let write = self.jobs.get_mut(&id).and_then(|j| j.final_write.as_mut());
+        let Some(outcome) = write.map(|w| w.take(ctx.now, result)) else {
+            return true;
+        };
+        match outcome {
+            Outcome::Done => {
                 let Some(j) = self.jobs.get_mut(&id) else {
                     return true;
                 };
                 j.finishing = None;
+                j.final_write = None;
                 j.cancelled = true;
                 // What it had done counts no more; its machines may forget it.
                 let acks = std::mem::take(&mut j.unfolded);
@@ -66,8 +77,8 @@
                 self.next_resend = 0;
                 self.resend(ctx);
             }
-            StoreResult::Conflict(_) => return false,
-            _ => {
+            Outcome::Fenced => return false,
+            Outcome::NotDone | Outcome::Open => {
                 // It may have been executed: until that is known, the job is neither started
                 // further nor called anything. Tried again by the tick.
                 if let Some(j) = self.jobs.get_mut(&id) {
@@ -104,8 +115,10 @@
             return;
         }
         let most = ctx.cfg.txn_ops.min(ctx.budget.room(Class::Fold));
-        let mut f =
-            Fold { chunks: Vec::new(), acks: Vec::new(), finals: Vec::new(), rounds: Vec::new() };
+        let mut chunks_of = Vec::new();
+        let mut acks = Vec::new();
+        let mut finals = Vec::new();
+        let mut rounds = Vec::new();
         let mut changes: Vec<Change> = Vec::new();
         let mut bytes = 0;
         let full = |c: &Vec<Change>, b: usize, n: usize| c.len() + n > most || b > 40_000;
@@ -123,9 +136,9 @@
             changes.extend(c);
             if let Some(j) = self.jobs.get_mut(&id) {
                 j.finishing = Some(Status::Done);
-                f.acks.push((id, std::mem::take(&mut j.unfolded)));
+                acks.push((id, std::mem::take(&mut j.unfolded)));
             }
-            f.finals.push((id, Status::Done));
+            finals.push((id, Status::Done));
         }
         let seat = self.seat;
         for j in self.jobs.values_mut() {
@@ -143,38 +156,39 @@
                 let key = keys::run_key(seat, j.id, c);
                 changes.push(Change::Put { key, value: Value::String(text), lease: None });
             }
-            f.chunks.push((j.id, chunks));
-            f.acks.push((j.id, std::mem::take(&mut j.unfolded)));
+            chunks_of.push((j.id, chunks));
+            acks.push((j.id, std::mem::take(&mut j.unfolded)));
         }
         while changes.len() < most {
             let Some(key) = self.finished_rounds.pop() else {
                 break;
             };
             changes.push(Change::Delete { key: key.clone() });
-            f.rounds.push(key);
+            rounds.push(key);
         }
         if changes.is_empty() {
             return;
         }
         // Deletions alone can wait for company.
-        if f.finals.is_empty() && f.chunks.is_empty() && changes.len() < most.min(8) {
-            self.finished_rounds.append(&mut f.rounds);
+        if finals.is_empty() && chunks_of.is_empty() && changes.len() < most.min(8) {
+            self.finished_rounds.append(&mut rounds);
             return;
         }
-        self.fold_after = ctx.now + if f.finals.is_empty() { 1200 } else { FOLD_MS };
-        ctx.budget.spend(Class::Fold, changes.len());
-        self.fold = Some(f);
-        let kind = OpKind::Fold { seat: self.seat, epoch: self.epoch };
-        ctx.store(kind, StoreCall::Txn(Txn { conds: vec![self.mine()], changes }));
+        self.fold_after = ctx.now + if finals.is_empty() { 1200 } else { FOLD_MS };
+        let mut write = self.write(Class::Fold, changes);
+        if let Some(call) = write.call(ctx.now, ctx.budget) {
+            ctx.store(OpKind::Fold { seat: self.seat, epoch: self.epoch }, call);
+        }
+        self.fold = Some(Fold { write, chunks: chunks_of, acks, finals, rounds });
     }
 
     /// False: the seat is lost.
-    pub fn folded(&mut self, ctx: &mut Ctx, result: StoreResult) -> bool {
-        let Some(f) = self.fold.take() else {
+    pub fn folded(&mut self, ctx: &mut Ctx, result: &StoreResult) -> bool {
+        let Some(mut f) = self.fold.take() else {
             return true;
         };
-        match result {
-            StoreResult::Committed(_) => {
+        match f.write.take(ctx.now, result) {
+            Outcome::Done => {
                 for (id, acks) in f.acks {
                     self.acknowledge(ctx, id, acks);
                 }
@@ -188,8 +202,8 @@
                     }
                 }
             }
-            StoreResult::Conflict(_) => return false,
-            _ => {
+            Outcome::Fenced => return false,
+            Outcome::NotDone | Outcome::Open => {
                 // Every change of a fold may be repeated: whatever happened, try again.
                 self.fold_after = ctx.now + 500;
                 self.finished_rounds.extend(f.rounds);
--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -1,13 +1,15 @@
 //! A seat's jobs: asks for offers, writes the choice under the epoch, then says yes and no.
+use crate::budget::Class;
 use crate::ctx::Ctx;
 use crate::ids::{Attempt, Epoch, JobId, Negotiation, Now, Seat};
 use crate::jobs::{DoneOn, Job};
 use crate::keys;
 use crate::records::{Feed, Record};
+use crate::writes::Write;
 use leaddeal_wire::mesh::{
     AttemptRef, Lack, Offer, Phase, Pick, SeatMsg, Shape as WireShape, TaskEvent,
 };
-use leaddeal_wire::state::{Cond, Txn};
+use leaddeal_wire::state::Change;
 use leaddeal_wire::user::{Kind, Status};
 use leaddeal_wire::worker::{TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -65,14 +67,12 @@
     choices: Vec<Choice>,
     asked: Vec<Seat>,
     negotiation: Negotiation,
-    txn: Txn,
-    /// An earlier try may have been executed, or may yet be.
-    unsure: bool,
-    retry_at: Option<Now>,
+    write: Write,
 }
 
 #[derive(Debug)]
 struct Fold {
+    write: Write,
     chunks: Vec<(JobId, Vec<u32>)>,
     acks: Vec<(JobId, Vec<DoneOn>)>,
     finals: Vec<(JobId, Status)>,
@@ -151,8 +151,9 @@
             && self.jobs.values().all(|j| j.finishing.is_none())
     }
 
-    fn mine(&self) -> Cond {
-        Cond { key: keys::seat_key(self.seat), version: self.epoch.0 }
+    /// Changes of this seat, conditional on its epoch.
+    fn write(&self, class: Class, changes: Vec<Change>) -> Write {
+        Write::new(class, self.seat, self.epoch, changes)
     }
 
     fn next_round_id(&mut self) -> u64 {
--- a/crates/core/src/coordinator/round.rs
+++ b/crates/core/src/coordinator/round.rs
@@ -3,13 +3,14 @@
 use crate::budget::Class;
 use crate::ctx::{Ctx, OpKind};
 use crate::ids::{Attempt, JobId, Negotiation, Now, Seat, ZoneIdx};
-use crate::io::{StoreCall, StoreResult};
+use crate::io::StoreResult;
 use crate::keys;
 use crate::names::Room;
 use crate::placed::Placement;
 use crate::teams::seat_of_team;
+use crate::writes::Outcome;
 use leaddeal_wire::mesh::{Offer, Phase, Pick, SeatMsg, Wanted};
-use leaddeal_wire::state::{Change, Cond, Txn};
+use leaddeal_wire::state::{Change, Cond};
 use leaddeal_wire::user::{self, Kind};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -242,7 +243,9 @@
                 }
             })
             .collect();
-        let mut conds = vec![self.mine(), Cond { key: key.clone(), version: 0 }];
+        let value = json!({"a": attempt.0, "p": picks});
+        let put = Change::Put { key: key.clone(), value, lease: None };
+        let mut write = self.write(Class::Decision, vec![put]).creating(key.clone());
         // A grant of a team's seat ends with the owner that gave it.
         for (team, g) in &self.grants {
             let used = choices.iter().any(|c| {
@@ -253,18 +256,10 @@
                 key: keys::seat_key(seat_of_team(*team, ctx.seats().count())),
                 version: g.0 .0,
             };
-            if used && !conds.contains(&cond) {
-                conds.push(cond);
+            if used {
+                write = write.also_if(cond);
             }
         }
-        let txn = Txn {
-            conds,
-            changes: vec![Change::Put {
-                key: key.clone(),
-                value: json!({"a": attempt.0, "p": picks}),
-                lease: None,
-            }],
-        };
         self.writing = Some(Writing {
             key,
             round,
@@ -272,49 +267,28 @@
             choices,
             asked: talk.asked,
             negotiation: talk.id,
-            txn,
-            unsure: false,
-            retry_at: Some(now),
+            write,
         });
         self.write_decision(ctx);
     }
 
     pub(super) fn write_decision(&mut self, ctx: &mut Ctx) {
-        let Some(w) = &mut self.writing else { return };
-        if w.retry_at.is_none_or(|t| t > ctx.now) || !ctx.valid {
-            return;
+        let Some(w) = self.writing.as_mut().filter(|_| ctx.valid) else { return };
+        if let Some(call) = w.write.call(ctx.now, ctx.budget) {
+            ctx.store(OpKind::Decide { seat: self.seat, epoch: self.epoch }, call);
         }
-        w.retry_at = None;
-        ctx.budget.spend(Class::Decision, 1);
-        let kind = OpKind::Decide { seat: self.seat, epoch: self.epoch };
-        ctx.store(kind, StoreCall::Txn(w.txn.clone()));
     }
 
     /// Outcome of the decision's transaction. False: the seat is lost.
-    pub fn decided(&mut self, ctx: &mut Ctx, result: StoreResult) -> bool {
+    pub fn decided(&mut self, ctx: &mut Ctx, result: &StoreResult) -> bool {
         let Some(w) = &mut self.writing else {
             return true;
         };
-        match result {
-            StoreResult::Committed(_) => self.winners(ctx),
-            StoreResult::Conflict(failed) => {
-                if failed.contains(&keys::seat_key(self.seat)) {
-                    return false;
-                }
-                // Only this owner writes this key: an earlier try was executed after all.
-                if w.unsure && failed.contains(&w.key) {
-                    self.winners(ctx);
-                } else {
-                    self.losers(ctx);
-                }
-            }
-            StoreResult::Refused if !w.unsure => self.losers(ctx),
-            // Never guessed: the same creation is tried again until its outcome is known.
-            StoreResult::Unknown => {
-                w.unsure = true;
-                w.retry_at = Some(ctx.now + 200);
-            }
-            _ => w.retry_at = Some(ctx.now + 300),
+        match w.write.take(ctx.now, result) {
+            Outcome::Done => self.winners(ctx),
+            Outcome::Fenced => return false,
+            Outcome::NotDone => self.losers(ctx),
+            Outcome::Open => {}
         }
         true
     }
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -79,6 +79,19 @@
     Buyer(Epoch, BuyerOp),
 }
 
+impl OpKind {
+    /// Whether it counts against the service's limit of changes.
+    pub(crate) fn writes(&self) -> bool {
+        matches!(
+            self,
+            OpKind::Decide { .. }
+                | OpKind::Fold { .. }
+                | OpKind::Finish { .. }
+                | OpKind::Submit { .. }
+        )
+    }
+}
+
 /// Opaque outside: what a lookup is for.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AskKind(pub(crate) Ask);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -3,6 +3,7 @@
 use crate::ids::{Attempt, JobId, MachineIdx, Now, ZoneIdx};
 use crate::names::Shape;
 use crate::placed::Placed;
+use crate::writes::Write;
 use leaddeal_wire::mesh;
 use leaddeal_wire::settings::Objective;
 use leaddeal_wire::user::{self, JobState, Kind, Status};
@@ -15,7 +16,7 @@
 /// A task's completion: task, attempt, machine, round.
 pub type DoneOn = (u32, Attempt, MachineIdx, u64);
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Job {
     pub id: JobId,
     pub wire: user::Job,
@@ -49,6 +50,7 @@
     pub unfolded: Vec<DoneOn>,
     /// Being written as final.
     pub finishing: Option<Status>,
+    pub final_write: Option<Write>,
     pub cancel_reqs: Vec<u64>,
 }
 
@@ -149,6 +151,7 @@
             stored: false,
             unfolded: Vec::new(),
             finishing: None,
+            final_write: None,
             cancel_reqs: Vec::new(),
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod records;
 pub mod seat;
 pub mod teams;
+pub mod writes;
 
 pub use io::{Input, Output};
 pub use node::Node;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -201,6 +201,9 @@
                     if !matches!(result, StoreResult::Refused | StoreResult::Unknown) {
                         self.state_ok_at = now;
                     }
+                    if matches!(result, StoreResult::Refused) && kind.writes() {
+                        self.budget.refused(now);
+                    }
                     self.revision = self.revision.max(match &result {
                         StoreResult::Committed(r) => *r,
                         StoreResult::Page(p) => p.revision,
--- a/crates/core/src/node/stored.rs
+++ b/crates/core/src/node/stored.rs
@@ -130,9 +130,9 @@
                 let Some(o) = &mut self.owned[i] else { return };
                 let k = &mut o.coordinator;
                 let kept = match kind {
-                    OpKind::Decide { .. } => k.decided(&mut c, result),
-                    OpKind::Fold { .. } => k.folded(&mut c, result),
-                    OpKind::Finish { job, .. } => k.finished(&mut c, job, result),
+                    OpKind::Decide { .. } => k.decided(&mut c, &result),
+                    OpKind::Fold { .. } => k.folded(&mut c, &result),
+                    OpKind::Finish { job, .. } => k.finished(&mut c, job, &result),
                     _ => true,
                 };
                 self.wake |= c.wake;
--- /dev/null
+++ b/crates/core/src/writes.rs
@@ -0,0 +1,136 @@
+//! A transaction under a seat's epoch, and what is known of its outcome.
+//!
+//! Invariant: an outcome is never guessed. Until it is known, nothing that depends on it is said or
+//! done, and the same transaction is tried again; nothing but the seat's epoch, or a key that only
+//! this transaction creates, tells what became of an earlier try.
+use crate::budget::{Budget, Class};
+use crate::ids::{Epoch, Now, Seat};
+use crate::io::{StoreCall, StoreResult};
+use crate::keys;
+use leaddeal_wire::state::{Change, Cond, Txn};
+
+/// Before the next try, when there was no answer and when it was refused.
+const NO_ANSWER_MS: u64 = 200;
+const REFUSED_MS: u64 = 300;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done,
+    /// The seat has another owner: nothing may be written under this epoch any more.
+    Fenced,
+    /// Certainly not executed, now or later.
+    NotDone,
+    /// Not known: to be tried again.
+    Open,
+}
+
+#[derive(Debug)]
+pub struct Write {
+    class: Class,
+    seat: Seat,
+    txn: Txn,
+    /// Created by this transaction and nothing else.
+    creates: Option<String>,
+    /// An earlier try may have been executed, or may yet be.
+    unsure: bool,
+    /// When to send it; none: an answer is waited for.
+    send_at: Option<Now>,
+}
+
+impl Write {
+    /// Conditional on the epoch under which the seat is owned.
+    pub fn new(class: Class, seat: Seat, epoch: Epoch, changes: Vec<Change>) -> Write {
+        let fence = Cond { key: keys::seat_key(seat), version: epoch.0 };
+        let txn = Txn { conds: vec![fence], changes };
+        Write { class, seat, txn, creates: None, unsure: false, send_at: Some(0) }
+    }
+
+    /// It creates this key, which no other transaction writes.
+    pub fn creating(mut self, key: String) -> Write {
+        self.txn.conds.push(Cond { key: key.clone(), version: 0 });
+        self.creates = Some(key);
+        self
+    }
+
+    pub fn also_if(mut self, cond: Cond) -> Write {
+        if !self.txn.conds.contains(&cond) {
+            self.txn.conds.push(cond);
+        }
+        self
+    }
+
+    /// The call, if it is time for it; its answer goes to `take`.
+    pub fn call(&mut self, now: Now, budget: &mut Budget) -> Option<StoreCall> {
+        if self.send_at.is_none_or(|t| t > now) {
+            return None;
+        }
+        self.send_at = None;
+        budget.spend(self.class, self.txn.changes.len());
+        Some(StoreCall::Txn(self.txn.clone()))
+    }
+
+    pub fn take(&mut self, now: Now, result: &StoreResult) -> Outcome {
+        let creates = self.creates.as_ref();
+        match result {
+            StoreResult::Committed(_) => Outcome::Done,
+            StoreResult::Conflict(failed) if failed.contains(&keys::seat_key(self.seat)) => {
+                Outcome::Fenced
+            }
+            // Only this transaction creates this key: an earlier try was executed after all.
+            StoreResult::Conflict(f) if self.unsure && creates.is_some_and(|k| f.contains(k)) => {
+                Outcome::Done
+            }
+            // Whatever else failed fails for a late copy of an earlier try, too.
+            StoreResult::Conflict(_) => Outcome::NotDone,
+            StoreResult::Refused if !self.unsure => Outcome::NotDone,
+            StoreResult::Unknown => {
+                self.unsure = true;
+                self.send_at = Some(now + NO_ANSWER_MS);
+                Outcome::Open
+            }
+            _ => {
+                self.send_at = Some(now + REFUSED_MS);
+                Outcome::Open
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn write() -> (Write, Budget) {
+        let changes = vec![Change::Delete { key: "d/0/x".into() }];
+        let w = Write::new(Class::Decision, Seat(0), Epoch(7), changes);
+        (w.creating("d/0/7-1".into()), Budget::new(50.0, 3, 0))
+    }
+
+    fn conflict(key: &str) -> StoreResult {
+        StoreResult::Conflict(vec![key.into()])
+    }
+
+    #[test]
+    fn what_became_of_an_earlier_try_is_told_by_what_it_creates() {
+        let (mut w, mut b) = write();
+        assert!(w.call(5, &mut b).is_some() && w.call(5, &mut b).is_none());
+        assert_eq!(w.take(5, &StoreResult::Unknown), Outcome::Open);
+        assert!(w.call(5 + NO_ANSWER_MS - 1, &mut b).is_none());
+        assert!(w.call(5 + NO_ANSWER_MS, &mut b).is_some());
+        // Refused now, but the first try may yet be executed.
+        assert_eq!(w.take(300, &StoreResult::Refused), Outcome::Open);
+        assert_eq!(w.take(900, &conflict("d/0/7-1")), Outcome::Done);
+    }
+
+    #[test]
+    fn a_new_owner_fences_and_a_plain_refusal_is_a_no() {
+        let (mut w, _) = write();
+        assert_eq!(w.take(0, &StoreResult::Refused), Outcome::NotDone);
+        let (mut w, _) = write();
+        assert_eq!(w.take(0, &conflict("d/0/7-1")), Outcome::NotDone, "somebody else's");
+        let (mut w, _) = write();
+        w.take(0, &StoreResult::Unknown);
+        let both = StoreResult::Conflict(vec!["d/0/7-1".into(), "seat/0".into()]);
+        assert_eq!(w.take(0, &both), Outcome::Fenced);
+    }
+}
--- a/crates/leaddeal/src/door.rs
+++ b/crates/leaddeal/src/door.rs
@@ -1,5 +1,5 @@
 //! What users, workers and the load balancer reach.
-use crate::driver::{Event, Reply};
+use crate::event::{Event, Reply};
 use crate::slow::Patient;
 use axum::extract::{Path, Request, State};
 use axum::http::{header, StatusCode};
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -1,11 +1,10 @@
 //! Connects the core with the world: feeds it inputs and carries out its outputs.
 use crate::client::{Client, NoAnswer};
 use crate::door::{self, Door};
+use crate::event::{Event, Reply};
 use crate::link;
 use hyper::Method;
-use leaddeal_core::io::{
-    CloudCall, CloudResult, DirectOutcome, ReqId, StoreCall, StoreResult, UserReply, WorkerReply,
-};
+use leaddeal_core::io::{CloudCall, CloudResult, DirectOutcome, ReqId, StoreCall, StoreResult};
 use leaddeal_core::{Input, Node, Output};
 use leaddeal_wire::mesh::NodeMsg;
 use leaddeal_wire::settings::Settings;
@@ -33,16 +32,6 @@
 /// commands; but an older one may have died unnoticed, and then the outcome is unknown.
 const WORKER_IDLE: Duration = Duration::from_secs(10);
 
-pub enum Reply {
-    User(UserReply),
-    Worker(WorkerReply),
-}
-
-pub enum Event {
-    Input(Input),
-    Request(ReqId, oneshot::Sender<Reply>, Input),
-}
-
 struct World {
     events: mpsc::Sender<Event>,
     store: Client,
--- a/crates/leaddeal/src/link.rs
+++ b/crates/leaddeal/src/link.rs
@@ -1,7 +1,7 @@
 //! Connections between controllers: length-framed CBOR over TCP. Each node sends on connections
 //! that it opened, and listens on those that others opened.
 use crate::client::lock;
-use crate::driver::Event;
+use crate::event::Event;
 use leaddeal_core::Input;
 use leaddeal_wire::mesh::{Hello, NodeMsg, MAX_FRAME};
 use std::collections::HashMap;
--- a/crates/leaddeal/src/main.rs
+++ b/crates/leaddeal/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod door;
 mod driver;
+mod event;
 mod link;
 mod slow;
 
