--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -316,11 +316,11 @@
         self.load().lasting
     }
 
-    /// The most room that work of this priority could get beyond what is free: of what is being
-    /// stopped, and of lesser tasks; of those with GPUs only if it takes GPUs itself.
+    /// The most room that work of this priority could get by stopping lesser tasks; those with
+    /// GPUs only if it takes GPUs itself.
     pub fn yields(&self, priority: Priority, gpus: bool) -> Room {
         let l = self.load();
-        let mut room = l.stopping;
+        let mut room = Room::default();
         for [without, with] in &l.stoppable[..priority as usize] {
             room.add(*without, 1);
             if gpus {
--- a/crates/core/src/part/offer.rs
+++ b/crates/core/src/part/offer.rs
@@ -55,9 +55,25 @@
         names: &Names,
         job: JobId,
         rank: Option<Rank>,
+    ) -> Option<Room> {
+        self.free_with(Room::default(), idx, m, names, job, rank)
+    }
+
+    /// The same, once `more` of what is used has become free. Holds and claims count against that
+    /// room as well: (found by comparing traces) taken off before it was added, they stopped at
+    /// nothing, and the room of one stopped task was claimed over and over.
+    pub(super) fn free_with(
+        &self,
+        more: Room,
+        idx: MachineIdx,
+        m: &Machine,
+        names: &Names,
+        job: JobId,
+        rank: Option<Rank>,
     ) -> Option<Room> {
         let mut free = names.room_of_type(m.kind?);
         free.sub(m.used()?, 1);
+        free.add(more, 1);
         for h in self.held(idx) {
             free.sub(h.need, h.count);
         }
@@ -343,10 +359,12 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::claims::Claim;
     use super::*;
-    use crate::fleet::TaskOn;
+    use crate::fleet::{StopWish, TaskOn};
     use crate::ids::{Attempt, Epoch, ImageIdx};
     use crate::names::Shape;
+    use leaddeal_wire::cloud::{Catalog, MachineType};
     use leaddeal_wire::mesh::Phase;
     use leaddeal_wire::worker::TaskState;
     use std::sync::Arc;
@@ -392,4 +410,43 @@
         assert_eq!(p.spare(later, false, false).fits(service.need), 0);
         assert!(p.spare(later, false, true).fits(service.need) > 0, "asked in vain for long");
     }
+
+    /// Found by comparing traces: five claims on the room of one task that was being stopped.
+    #[test]
+    fn the_room_of_a_stopped_task_is_claimed_once() {
+        let mut names = Names::default();
+        let (name, zones) = ("small".to_string(), vec!["a".to_string()]);
+        let small = MachineType {
+            name,
+            zones,
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 16.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 1.0,
+            boot_s: 1.0,
+        };
+        names.set_catalog(Catalog { types: vec![small] });
+        let mut m = Machine::new(1);
+        m.kind = names.type_idx("small");
+        for task in 0..4 {
+            let mut t = TaskOn::new(Some(shape(Kind::Array, 1000)), Phase::Decided, 1);
+            t.stop = (task == 0).then_some(StopWish { grace_s: 0.0, since: 1 });
+            m.tasks.insert((JobId(9), task, Attempt(1)), t);
+        }
+        m.recount();
+        let mut p = Part::new(Seat(0), Epoch(1), 1, 3);
+        let need = shape(Kind::Service, 1000).need;
+        let idx = MachineIdx(0);
+        let room = |p: &Part| {
+            let soon = p.free_with(m.stopping(), idx, &m, &names, JobId(u64::MAX), None);
+            soon.expect("known tasks").fits(need)
+        };
+        assert_eq!(room(&p), 1);
+        let claim = Claim { job: JobId(5), need, until: 9000, patient: false, rank: None };
+        p.claims.add(idx, claim);
+        assert_eq!(room(&p), 0);
+    }
 }
--- a/crates/core/src/part/room.rs
+++ b/crates/core/src/part/room.rs
@@ -113,7 +113,9 @@
         let Seek { w, shape, fits, rank, .. } = *seek;
         let now = ctx.now;
         let job = JobId(w.job);
-        let mut soon = self.free(idx, m, ctx.names, JobId(u64::MAX), rank)?;
+        // Nothing is idle here by the usual count, or it would have been offered; what is being
+        // stopped already will be free soon.
+        let soon = self.free_with(m.stopping(), idx, m, ctx.names, JobId(u64::MAX), rank)?;
         // Most machines are judged by their sums alone.
         let mut reach = soon;
         reach.add(m.yields(shape.wire.priority, shape.need.gpu > 0), 1);
@@ -127,10 +129,7 @@
         if self.claims.on(idx).iter().any(|c| c.patient && c.bars(job, rank)) {
             return None;
         }
-        // Nothing is idle here by the usual count, or it would have been offered; what is being
-        // stopped already will be free soon.
         let mut cands = Vec::new();
-        soon.add(m.stopping(), 1);
         let tasks = m.tasks.iter().filter(|(_, t)| enough && !t.over() && t.stop.is_none());
         for (k, t) in tasks {
             let Some(s) = &t.shape else { continue };
--- a/crates/testkit/tests/recovery.rs
+++ b/crates/testkit/tests/recovery.rs
@@ -54,7 +54,8 @@
     assert_eq!(seats, NODES, "each seat is loaded once");
     assert!(at < BEGIN + 20_000 + 9000, "{} ms", at - BEGIN - 20_000);
     let calls = sim.marks.store_calls - calls;
-    assert!(calls < 2500, "{calls} calls of the state service in 12 s");
+    println!("{calls} calls of the state service in 12 s");
+    assert!(calls < 1700, "{calls} calls of the state service in 12 s");
 }
 
 /// A third of the machines dies in one second while others hang for longer than a lease: what
