--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -24,8 +24,9 @@
 pub struct Marks {
     /// A controller has loaded a seat.
     pub loaded: Vec<(u64, usize)>,
-    /// A task started, by task and machine: when it was first reported to run.
+    /// Pages that the state service gave out.
     pub pages: u64,
+    /// Calls of the state service other than watches.
     pub store_calls: u64,
 }
 
