--- a/crates/core/src/buyer.rs
+++ b/crates/core/src/buyer/mod.rs
@@ -1,14 +1,24 @@
 //! Rents and returns machines for all parts, from the owner of one fixed seat.
 use crate::ctx::{BuyerOp, Ctx, OpKind};
-use crate::ids::{Epoch, Now, Seat, BUYER_SEAT};
+use crate::ids::{Epoch, Now, Seat, TypeIdx, ZoneIdx, BUYER_SEAT};
 use crate::io::{CloudCall, CloudResult};
-use crate::names::{older, Names, Room};
+use crate::names::{older, Room};
 use leaddeal_wire::cloud::{Listed, ListedStatus, Rent};
 use leaddeal_wire::mesh::{Lack, MachineInfo, SeatMsg};
+use leaddeal_wire::user::Priority;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+mod rentals;
+
+use rentals::{Came, Rentals, MOST_A_CALL};
+
 const LIST_MS: u64 = 3000;
 const PLAN_MS: u64 = 1000;
+/// Requests of one plan; the next one is made from what is known by then.
+const PLANNED: usize = 8;
+/// Machines that a plan asks for at most for one job that can wait.
+const LOW_AT_ONCE: u32 = 8;
 /// A refusal says that there is nothing to be had for about this long.
 const REFUSED_MS: u64 = 20_000;
 
@@ -20,15 +30,6 @@
     since: Now,
 }
 
-#[derive(Clone, Debug)]
-struct Asked {
-    rent: Rent,
-    /// Its outcome is unknown: the same name is asked again until there is an answer.
-    unsure: bool,
-    retry_at: Now,
-    in_flight: bool,
-}
-
 /// What a part has told of its machines.
 #[derive(Debug, Default)]
 struct PartView {
@@ -43,7 +44,6 @@
 pub struct Buyer {
     epoch: Epoch,
     since: Now,
-    next_name: u64,
     lacks: BTreeMap<Seat, (Now, Vec<Lack>)>,
     parts: BTreeMap<Seat, PartView>,
     booting: BTreeMap<String, Booting>,
@@ -56,7 +56,7 @@
     /// Last complete list, and when the call for it was sent.
     list_known: bool,
     plan_at: Now,
-    asked: Option<Asked>,
+    rentals: Rentals,
     refused: HashMap<(String, String, bool), Now>,
     draining: BTreeMap<String, Now>,
     to_release: BTreeSet<String>,
@@ -71,8 +71,41 @@
     prices_at: Now,
 }
 
-fn type_room(names: &Names, t: &str) -> Option<Room> {
-    names.type_idx(t).map(|i| names.room_of_type(i))
+impl Booting {
+    fn of(rent: &Rent, since: Now) -> Booting {
+        let (type_name, zone) = (rent.type_name.clone(), rent.zone.clone());
+        Booting { type_name, zone, spot: rent.spot, since }
+    }
+}
+
+/// A machine that is coming up, or asked for, with the room that nobody's lack has taken.
+#[derive(Clone, Debug)]
+struct Coming {
+    kind: TypeIdx,
+    zone: Option<ZoneIdx>,
+    spot: bool,
+    room: Room,
+}
+
+impl Coming {
+    fn of(ctx: &Ctx, b: &Booting) -> Option<Coming> {
+        let kind = ctx.names.type_idx(&b.type_name)?;
+        let (room, zone) = (ctx.names.room_of_type(kind), ctx.names.zone(&b.zone));
+        Some(Coming { kind, zone, spot: b.spot, room })
+    }
+
+    /// Takes room for at most `left` tasks of a lack; `zones`: how many more each zone may have.
+    fn take(&mut self, ctx: &Ctx, l: &Lack, need: Room, left: u64, zones: &mut [u64]) -> u64 {
+        let zone = self.zone.and_then(|z| zones.get_mut(z.0 as usize));
+        let Some(zone) = zone.filter(|z| **z > 0) else { return 0 };
+        let n = self.room.fits(need).min(left).min(*zone);
+        if n == 0 || !ctx.names.allows(&l.shape, self.kind, self.spot) {
+            return 0;
+        }
+        self.room.sub(need, n);
+        *zone -= n;
+        n
+    }
 }
 
 impl Buyer {
@@ -80,7 +113,6 @@
         Buyer {
             epoch,
             since: now,
-            next_name: 0,
             lacks: BTreeMap::new(),
             parts: BTreeMap::new(),
             booting: BTreeMap::new(),
@@ -91,7 +123,7 @@
             list_at: now,
             list_known: false,
             plan_at: now,
-            asked: None,
+            rentals: Rentals::default(),
             refused: HashMap::new(),
             draining: BTreeMap::new(),
             to_release: BTreeSet::new(),
@@ -159,6 +191,7 @@
                 }
                 if let (true, Some(after)) = (l.more, last) {
                     self.list_in_flight = true;
+                    self.next_call = self.next_call.max(now) + ctx.cfg.cloud_gap_ms;
                     ctx.cloud(
                         OpKind::Buyer(self.epoch, BuyerOp::List),
                         CloudCall::List { after: Some(after) },
@@ -176,48 +209,29 @@
                 self.page.clear();
                 self.list_at = now + 2000;
             }
-            (BuyerOp::Rent, result) => {
-                let Some(a) = &mut self.asked else { return };
-                a.in_flight = false;
-                match result {
-                    CloudResult::Rented(names) => {
-                        let rent = a.rent.clone();
-                        if (names.len() as u32) < rent.count {
-                            self.refuse(now, &rent);
-                        }
-                        ctx.out.log(1, "rented", || {
-                            format!(
-                                "{} {} {} spot={} {names:?}",
-                                rent.request, rent.type_name, rent.zone, rent.spot
-                            )
-                        });
-                        for n in names {
-                            let b = Booting {
-                                type_name: rent.type_name.clone(),
-                                zone: rent.zone.clone(),
-                                spot: rent.spot,
-                                since: now,
-                            };
-                            self.booting.insert(n, b);
-                        }
-                        self.asked = None;
-                        self.plan_at = now;
-                    }
-                    CloudResult::NoCapacity => {
-                        let rent = a.rent.clone();
+            (BuyerOp::Rent(number), result) => match self.rentals.take(now, number, result) {
+                Came::Machines(rent, names) => {
+                    if (names.len() as u32) < rent.count {
                         self.refuse(now, &rent);
-                        self.asked = None;
-                        // Something else may be had at once.
-                        self.plan_at = now;
                     }
-                    CloudResult::Refused if !a.unsure => self.asked = None,
-                    CloudResult::Refused => a.retry_at = now + 1000,
-                    _ => {
-                        a.unsure = true;
-                        a.retry_at = now + 1000;
+                    ctx.out.log(1, "rented", || {
+                        format!(
+                            "{} {} {} spot={} {names:?}",
+                            rent.request, rent.type_name, rent.zone, rent.spot
+                        )
+                    });
+                    for n in names {
+                        self.booting.insert(n, Booting::of(&rent, now));
                     }
+                    self.plan_soon(now);
                 }
-            }
+                Came::Nothing(rent) => {
+                    self.refuse(now, &rent);
+                    // Something else may be had at once.
+                    self.plan_soon(now);
+                }
+                Came::NotYet => {}
+            },
             (BuyerOp::Release, result) => {
                 let names = std::mem::take(&mut self.releasing);
                 if matches!(result, CloudResult::Released) {
@@ -237,6 +251,10 @@
         }
     }
 
+    fn plan_soon(&mut self, now: Now) {
+        self.plan_at = self.plan_at.min(now);
+    }
+
     fn refuse(&mut self, now: Now, r: &Rent) {
         self.refused.insert((r.type_name.clone(), r.zone.clone(), r.spot), now + REFUSED_MS);
     }
@@ -316,12 +334,10 @@
             self.prices_at = now + 60_000;
             ctx.cloud(OpKind::Catalog, CloudCall::Catalog);
         }
-        if let Some(a) = &mut self.asked {
-            if !a.in_flight && now >= a.retry_at && now >= self.next_call {
+        if now >= self.next_call {
+            if let Some((number, rent)) = self.rentals.send(now) {
                 self.next_call = now + ctx.cfg.cloud_gap_ms;
-                a.in_flight = true;
-                let rent = a.rent.clone();
-                ctx.cloud(OpKind::Buyer(self.epoch, BuyerOp::Rent), CloudCall::Rent(rent));
+                ctx.cloud(OpKind::Buyer(self.epoch, BuyerOp::Rent(number)), CloudCall::Rent(rent));
             }
         }
         let may = now >= self.release_retry && now >= self.next_call;
@@ -356,47 +372,73 @@
                 ctx.send(BUYER_SEAT, s, SeatMsg::Base { newest: base.clone() });
             }
         }
-        if self.asked.is_some() {
+        // What waits to be sent was planned from what is known now.
+        if self.rentals.unsent() || self.rentals.room() == 0 {
             return;
         }
-        // What is coming up takes some of the demand.
+        for rent in self.wanted(ctx) {
+            self.rentals.add(self.epoch, rent, now);
+        }
+    }
+
+    /// What to rent, the most urgent first: each lack takes what is coming up, then what is asked
+    /// for in this plan, then asks for more.
+    fn wanted(&mut self, ctx: &Ctx) -> Vec<Rent> {
         let parts = &self.parts;
         self.booting.retain(|n, _| !Self::reports(parts, ctx, n));
-        let mut coming: Vec<(Room, Booting)> = self
-            .booting
-            .values()
-            .filter_map(|b| Some((type_room(ctx.names, &b.type_name)?, b.clone())))
-            .collect();
-        let mut lacks: Vec<Lack> = self.lacks.values().flat_map(|l| l.1.iter().cloned()).collect();
-        lacks
-            .sort_by_key(|l| (std::cmp::Reverse(l.shape.priority), std::cmp::Reverse(l.waited_ms)));
+        let mut coming: Vec<Coming> =
+            self.booting.values().filter_map(|b| Coming::of(ctx, b)).collect();
+        for (rent, since) in self.rentals.coming() {
+            let one = Coming::of(ctx, &Booting::of(rent, since));
+            coming.extend(one.into_iter().flat_map(|c| (0..rent.count).map(move |_| c.clone())));
+        }
+        let mut lacks: Vec<&Lack> = self.lacks.values().flat_map(|l| l.1.iter()).collect();
+        lacks.sort_by_key(|l| (Reverse(l.shape.priority), Reverse(l.waited_ms)));
+        let mut rents: Vec<Rent> = Vec::new();
         for l in lacks {
-            let mut left = u64::from(l.count);
             let need = Room::of(&l.shape);
-            for (room, b) in &mut coming {
-                let Some(t) = ctx.names.type_idx(&b.type_name) else {
-                    continue;
-                };
-                if left == 0 || !ctx.names.allows(&l.shape, t, b.spot) {
-                    continue;
+            let mut left = u64::from(l.count);
+            let mut zones: Vec<u64> = l.zone_room.iter().map(|&r| u64::from(r)).collect();
+            for c in &mut coming {
+                if left == 0 {
+                    break;
                 }
-                let zr = ctx.names.zone(&b.zone).and_then(|z| l.zone_room.get(z.0 as usize));
-                let n = room.fits(need).min(left).min(u64::from(zr.copied().unwrap_or(0)));
-                room.sub(need, n);
-                left -= n;
+                left -= c.take(ctx, l, need, left, &mut zones);
             }
-            if left == 0 || l.waited_ms < 300 {
-                continue;
+            // Work that can wait runs on few machines for longer rather than on many at once.
+            let most = if l.shape.priority == Priority::Low { LOW_AT_ONCE } else { MOST_A_CALL };
+            let mut machines = u64::from(most);
+            while left > 0 && l.waited_ms >= 300 && machines > 0 {
+                let Some(rent) = self.choose(ctx, l, need, left, &zones) else {
+                    break;
+                };
+                let one = Coming::of(ctx, &Booting::of(&rent, 0));
+                let Some(one) = one else { break };
+                let count = u64::from(rent.count).min(machines);
+                machines -= count;
+                for _ in 0..count {
+                    let mut c = one.clone();
+                    left -= c.take(ctx, l, need, left, &mut zones);
+                    coming.push(c);
+                }
+                let same = rents.iter_mut().find(|r| {
+                    (&r.type_name, &r.zone, r.spot) == (&rent.type_name, &rent.zone, rent.spot)
+                        && r.count + count as u32 <= MOST_A_CALL
+                });
+                match same {
+                    Some(r) => r.count += count as u32,
+                    None => rents.push(Rent { count: count as u32, ..rent }),
+                }
             }
-            if let Some(rent) = self.choose(ctx, &l, need, left) {
-                self.asked = Some(Asked { rent, unsure: false, retry_at: now, in_flight: false });
-                return;
+            if rents.len() >= self.rentals.room().min(PLANNED) {
+                break;
             }
         }
+        rents
     }
 
     /// The cheapest way to get room for `left` tasks.
-    fn choose(&mut self, ctx: &Ctx, l: &Lack, need: Room, left: u64) -> Option<Rent> {
+    fn choose(&self, ctx: &Ctx, l: &Lack, need: Room, left: u64, zones: &[u64]) -> Option<Rent> {
         let mut best: Option<(f64, Rent)> = None;
         for (i, t) in ctx.names.catalog.iter().enumerate() {
             let idx = crate::ids::TypeIdx(i as u8);
@@ -405,8 +447,8 @@
                 continue;
             }
             for z in &t.zones {
-                let room = ctx.names.zone(z).and_then(|z| l.zone_room.get(z.0 as usize)).copied();
-                let room = u64::from(room.unwrap_or(0)).min(left);
+                let room = ctx.names.zone(z).and_then(|z| zones.get(z.0 as usize)).copied();
+                let room = room.unwrap_or(0).min(left);
                 if room == 0 {
                     continue;
                 }
@@ -423,7 +465,7 @@
                     let used = fits.min(room);
                     let cost = price / used as f64;
                     if best.as_ref().is_none_or(|b| cost < b.0) {
-                        let count = room.div_ceil(fits).clamp(1, 8) as u32;
+                        let count = room.div_ceil(fits).clamp(1, u64::from(MOST_A_CALL)) as u32;
                         let rent = Rent {
                             request: String::new(),
                             type_name: t.name.clone(),
@@ -436,11 +478,7 @@
                 }
             }
         }
-        let mut rent = best?.1;
-        // The epoch makes the name one that no other owner ever uses.
-        self.next_name += 1;
-        rent.request = format!("r-{}-{}", self.epoch.0, self.next_name);
-        Some(rent)
+        best.map(|b| b.1)
     }
 
     fn return_idle(&mut self, ctx: &mut Ctx) {
@@ -474,7 +512,8 @@
                 }
             }
         }
-        for machine in drains.into_iter().take(5) {
+        let most = 5 + self.listed.len() / 100;
+        for machine in drains.into_iter().take(most) {
             self.draining.insert(machine.clone(), now);
             let seat = ctx.seat_of_machine(&machine);
             ctx.send(BUYER_SEAT, seat, SeatMsg::Drain { machine });
--- /dev/null
+++ b/crates/core/src/buyer/rentals.rs
@@ -0,0 +1,179 @@
+//! Rentals under way: each named, and repeated under its name until its outcome is known.
+//!
+//! Invariants:
+//! - a name is used for one request only: it contains the buyer's epoch, and a number that grows;
+//! - a request whose outcome is unknown is never dropped, only repeated to the letter; one that was
+//!   certainly not executed is dropped, and planned anew under another name;
+//! - no more than `MOST` are under way, and the most urgent are sent first.
+//!
+//! (There was one at a time: from an empty fleet waits grew in step with the fleet, whatever the
+//! cloud allowed.)
+use crate::ids::{Epoch, Now};
+use crate::io::CloudResult;
+use leaddeal_wire::cloud::Rent;
+use std::collections::BTreeMap;
+
+/// Under way at once. The cloud's limit of calls keeps them apart; so many may wait for answers.
+pub const MOST: usize = 24;
+/// The cloud rents no more by one call.
+pub const MOST_A_CALL: u32 = 50;
+const AGAIN_MS: u64 = 1000;
+
+#[derive(Clone, Debug)]
+struct Asked {
+    rent: Rent,
+    since: Now,
+    /// Its outcome is unknown: the same name is asked again until there is an answer.
+    unsure: bool,
+    retry_at: Now,
+    in_flight: bool,
+}
+
+/// What became of a request.
+#[derive(Debug, PartialEq)]
+pub enum Came {
+    /// Rented, perhaps fewer than asked for.
+    Machines(Rent, Vec<String>),
+    /// There are none to be had.
+    Nothing(Rent),
+    /// Not executed, or not known yet.
+    NotYet,
+}
+
+#[derive(Debug, Default)]
+pub struct Rentals {
+    /// By number, in the order of urgency.
+    asked: BTreeMap<u64, Asked>,
+    next: u64,
+}
+
+impl Rentals {
+    pub fn room(&self) -> usize {
+        MOST.saturating_sub(self.asked.len())
+    }
+
+    /// Some wait for their turn to be sent.
+    pub fn unsent(&self) -> bool {
+        self.asked.values().any(|a| !a.in_flight && !a.unsure)
+    }
+
+    pub fn add(&mut self, epoch: Epoch, mut rent: Rent, now: Now) {
+        self.next += 1;
+        // The epoch makes the name one that no other owner ever uses.
+        rent.request = format!("r-{}-{}", epoch.0, self.next);
+        rent.count = rent.count.clamp(1, MOST_A_CALL);
+        let new = Asked { rent, since: now, unsure: false, retry_at: now, in_flight: false };
+        self.asked.insert(self.next, new);
+    }
+
+    /// The next request to be sent, with its number.
+    pub fn send(&mut self, now: Now) -> Option<(u64, Rent)> {
+        let due = |a: &&mut Asked| !a.in_flight && now >= a.retry_at;
+        let (&number, a) = self.asked.iter_mut().find(|(_, a)| due(a))?;
+        a.in_flight = true;
+        Some((number, a.rent.clone()))
+    }
+
+    pub fn take(&mut self, now: Now, number: u64, result: CloudResult) -> Came {
+        let Some(a) = self.asked.get_mut(&number) else {
+            return Came::NotYet;
+        };
+        a.in_flight = false;
+        let over = match result {
+            CloudResult::Rented(names) => Some(Ok(names)),
+            CloudResult::NoCapacity => Some(Err(())),
+            CloudResult::Refused if !a.unsure => {
+                self.asked.remove(&number);
+                return Came::NotYet;
+            }
+            CloudResult::Refused => None,
+            CloudResult::Catalog(_)
+            | CloudResult::Released
+            | CloudResult::Listing(_)
+            | CloudResult::Unknown => {
+                a.unsure = true;
+                None
+            }
+        };
+        match (over, self.asked.remove(&number)) {
+            (Some(Ok(names)), Some(a)) => Came::Machines(a.rent, names),
+            (Some(Err(())), Some(a)) => Came::Nothing(a.rent),
+            (None, Some(a)) => {
+                self.asked.insert(number, Asked { retry_at: now + AGAIN_MS, ..a });
+                Came::NotYet
+            }
+            (_, None) => Came::NotYet,
+        }
+    }
+
+    /// What is coming if all of it is rented: counted as room already asked for.
+    pub fn coming(&self) -> impl Iterator<Item = (&Rent, Now)> {
+        self.asked.values().map(|a| (&a.rent, a.since))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::rngs::SmallRng;
+    use rand::{Rng, SeedableRng};
+    use std::collections::{BTreeSet, HashMap};
+
+    fn rent(count: u32) -> Rent {
+        let (type_name, zone) = ("mule".to_string(), "a".to_string());
+        Rent { request: String::new(), type_name, zone, spot: false, count }
+    }
+
+    /// A cloud that executes requests and loses the answers, answers late, refuses, runs out: every
+    /// machine that it rents out is heard of once, and no name means two things.
+    #[test]
+    fn every_machine_rented_is_heard_of_once() {
+        for seed in 0..200 {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let mut r = Rentals::default();
+            let mut cloud: HashMap<String, (u32, Vec<String>)> = HashMap::new();
+            let mut heard = BTreeSet::new();
+            let mut late: Vec<(u64, CloudResult)> = Vec::new();
+            let (mut machines, mut most) = (0, 0);
+            for step in 0..3000u64 {
+                let now = step * 100;
+                if step < 2000 && r.room() > 0 && rng.random_bool(0.5) {
+                    r.add(Epoch(7), rent(rng.random_range(0..80)), now);
+                }
+                if let Some((number, rent)) = r.send(now) {
+                    assert!((1..=MOST_A_CALL).contains(&rent.count));
+                    let refused = rng.random_bool(0.1);
+                    let result = match cloud.get(&rent.request) {
+                        _ if refused => CloudResult::Refused,
+                        Some((count, names)) => {
+                            assert_eq!(*count, rent.count, "a name means one thing");
+                            CloudResult::Rented(names.clone())
+                        }
+                        None if rng.random_bool(0.2) => CloudResult::NoCapacity,
+                        None => {
+                            let n = rng.random_range(1..=rent.count);
+                            let names: Vec<String> =
+                                (0..n).map(|i| format!("n-{}", machines + i)).collect();
+                            machines += n;
+                            cloud.insert(rent.request.clone(), (rent.count, names.clone()));
+                            CloudResult::Rented(names)
+                        }
+                    };
+                    let lost = step < 2500 && rng.random_bool(0.3);
+                    late.push((number, if lost { CloudResult::Unknown } else { result }));
+                }
+                most = most.max(r.coming().count());
+                while !late.is_empty() && rng.random_bool(0.5) {
+                    let (number, result) = late.swap_remove(rng.random_range(0..late.len()));
+                    if let Came::Machines(_, names) = r.take(now, number, result) {
+                        for n in names {
+                            assert!(heard.insert(n), "seed {seed}: heard of twice");
+                        }
+                    }
+                }
+            }
+            assert_eq!(heard.len(), machines as usize, "seed {seed}: rented and not heard of");
+            assert!(most > 10 && most <= MOST && r.coming().count() == 0, "{most} under way");
+        }
+    }
+}
--- a/crates/core/src/coordinator/finish.rs
+++ b/crates/core/src/coordinator/finish.rs
@@ -1,9 +1,9 @@
 //! What is over: done tasks are folded, final states written, cancellations answered.
-use super::{Coordinator, Fold, FOLD_MS};
+use super::{Coordinator, Fold};
 use crate::bits::CHUNK;
 use crate::budget::Class;
 use crate::ctx::{Ctx, OpKind};
-use crate::ids::{JobId, Seat};
+use crate::ids::{JobId, Now, Seat};
 use crate::io::{ReqId, StoreResult};
 use crate::jobs::{job_state, DoneOn};
 use crate::keys;
@@ -12,8 +12,21 @@
 use leaddeal_wire::state::Change;
 use leaddeal_wire::user::{JobState, Status};
 use serde_json::Value;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+/// Between two transactions with final states, and with what is done.
+const FINALS_MS: u64 = 300;
+const CHUNKS_MS: u64 = 1200;
+/// What is done of a job is written after this time, or when so much of it waits.
+const RIPE_MS: u64 = 2500;
+const RIPE: usize = 60;
+/// So many deletions are worth a transaction of their own.
+const DELETE_ALONE: usize = 8;
+const MOST_BYTES: usize = 40_000;
+/// A cancellation that the service refused is tried again.
+const REFUSED_AGAIN_MS: u64 = 500;
+
 impl Coordinator {
     pub(super) fn final_changes(&self, id: JobId, status: Status) -> Vec<Change> {
         let Some(j) = self.jobs.get(&id) else {
@@ -36,15 +49,28 @@
         v
     }
 
-    pub(super) fn write_final(&mut self, ctx: &mut Ctx, id: JobId, status: Status) {
-        let changes = self.final_changes(id, status);
-        let mut write = self.write(Class::Decision, changes);
-        if let Some(call) = write.call(ctx.now, ctx.budget) {
-            let kind = OpKind::Finish { seat: self.seat, epoch: self.epoch, job: id };
-            ctx.store(kind, call);
+    /// Writes the cancellations that it is time for: a first time, or again.
+    pub(super) fn write_cancellations(&mut self, ctx: &mut Ctx) {
+        if !ctx.valid {
+            return;
         }
-        if let Some(j) = self.jobs.get_mut(&id) {
-            j.final_write = Some(write);
+        for id in self.cancelling.iter().copied().collect::<Vec<_>>() {
+            let begun = self.jobs.get_mut(&id).and_then(|j| j.final_write.take());
+            let mut write = begun.unwrap_or_else(|| {
+                self.write(Class::Answer, self.final_changes(id, Status::Cancelled))
+            });
+            let call = write.call(ctx.now, ctx.budget);
+            match self.jobs.get_mut(&id) {
+                Some(j) => j.final_write = Some(write),
+                None => {
+                    self.cancelling.remove(&id);
+                    continue;
+                }
+            }
+            if let Some(call) = call {
+                let kind = OpKind::Finish { seat: self.seat, epoch: self.epoch, job: id };
+                ctx.store(kind, call);
+            }
         }
     }
 
@@ -56,6 +82,7 @@
         };
         match outcome {
             Outcome::Done => {
+                self.cancelling.remove(&id);
                 let Some(j) = self.jobs.get_mut(&id) else {
                     return true;
                 };
@@ -85,8 +112,10 @@
                     for r in std::mem::take(&mut j.cancel_reqs) {
                         ctx.reply_later(r, 503, 1);
                     }
-                    j.not_before = ctx.now + 500;
-                    j.refusals = u32::MAX;
+                    if let Some(w) = j.final_write.as_mut().filter(|_| outcome == Outcome::NotDone)
+                    {
+                        w.again(ctx.now + REFUSED_AGAIN_MS);
+                    }
                 }
             }
         }
@@ -96,7 +125,7 @@
     pub(super) fn acknowledge(&mut self, ctx: &mut Ctx, id: JobId, acks: Vec<DoneOn>) {
         let mut by_seat: BTreeMap<Seat, Vec<AttemptRef>> = BTreeMap::new();
         for (task, attempt, m, round) in acks {
-            self.round_less(round);
+            self.rounds.one_less(round);
             let machine = ctx.names.machine_name(m).to_string();
             let seat = ctx.seat_of_machine(&machine);
             let what = AttemptRef { job: id.0, task, attempt: attempt.0, machine, session: None };
@@ -109,77 +138,109 @@
         }
     }
 
-    /// Writes what is done, and deletes decisions that nothing depends on any more.
+    /// Writes final states and what is done, and deletes decisions that nothing depends on any
+    /// more: one transaction, each part of it out of its own class.
     pub(super) fn start_fold(&mut self, ctx: &mut Ctx) {
-        if !self.ready() || self.fold.is_some() || ctx.now < self.fold_after || !ctx.valid {
+        if !self.ready() || self.fold.is_some() || !ctx.valid {
             return;
         }
-        let most = ctx.cfg.txn_ops.min(ctx.budget.room(Class::Fold));
-        let mut chunks_of = Vec::new();
-        let mut acks = Vec::new();
-        let mut finals = Vec::new();
-        let mut rounds = Vec::new();
+        let mut fold = Fold::default();
         let mut changes: Vec<Change> = Vec::new();
-        let mut bytes = 0;
-        let full = |c: &Vec<Change>, b: usize, n: usize| c.len() + n > most || b > 40_000;
-        let done: Vec<JobId> = self
-            .jobs
-            .values()
-            .filter(|j| j.complete() && j.finishing != Some(Status::Cancelled) && !j.cancelled)
-            .map(|j| j.id)
-            .collect();
-        for id in done {
+        if !self.over.is_empty() && ctx.now >= self.finals_after {
+            self.fold_finals(ctx, &mut fold, &mut changes);
+        }
+        let finals = changes.len();
+        if ctx.now >= self.fold_after && !(self.dirty.is_empty() && self.rounds.waiting() == 0) {
+            self.fold_chunks(ctx, &mut fold, &mut changes);
+            self.fold_after = ctx.now + CHUNKS_MS;
+        }
+        let chunks = changes.len() - finals;
+        let most = ctx.cfg.txn_ops.saturating_sub(changes.len());
+        let most = most.min(ctx.budget.room(Class::Rest));
+        // Deletions alone can wait for company.
+        if !changes.is_empty() || self.rounds.waiting().min(most) >= DELETE_ALONE {
+            fold.rounds = self.rounds.take_unneeded(most);
+            changes.extend(fold.rounds.iter().map(|key| Change::Delete { key: key.clone() }));
+        }
+        if changes.is_empty() {
+            return;
+        }
+        if finals > 0 {
+            self.finals_after = ctx.now + FINALS_MS;
+        }
+        let rest = fold.rounds.len();
+        let write = self.write(Class::Final, changes);
+        let mut write = write.of_which(Class::Fold, chunks).of_which(Class::Rest, rest);
+        if let Some(call) = write.call(ctx.now, ctx.budget) {
+            ctx.store(OpKind::Fold { seat: self.seat, epoch: self.epoch }, call);
+        }
+        fold.write = Some(write);
+        self.fold = Some(fold);
+    }
+
+    /// Final states, of those first that are over for longest.
+    fn fold_finals(&mut self, ctx: &mut Ctx, fold: &mut Fold, changes: &mut Vec<Change>) {
+        let most = ctx.cfg.txn_ops.min(ctx.budget.room(Class::Final));
+        let mut over: Vec<(Now, JobId)> = self.over.iter().map(|(id, at)| (*at, *id)).collect();
+        over.sort_unstable();
+        for (_, id) in over {
             let c = self.final_changes(id, Status::Done);
-            if full(&changes, bytes, c.len()) {
+            // The largest job has more chunks than the smallest store takes changes at once: alone
+            // it may go beyond what there is room for.
+            if changes.len() + c.len() > most && !(changes.is_empty() && most >= 2) {
                 break;
             }
-            changes.extend(c);
-            if let Some(j) = self.jobs.get_mut(&id) {
-                j.finishing = Some(Status::Done);
-                acks.push((id, std::mem::take(&mut j.unfolded)));
+            self.over.remove(&id);
+            self.dirty.remove(&id);
+            // Cancelled meanwhile: that is its end.
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            if j.cancelled || j.finishing == Some(Status::Cancelled) {
+                continue;
             }
-            finals.push((id, Status::Done));
+            j.finishing = Some(Status::Done);
+            fold.acks.push((id, std::mem::take(&mut j.unfolded)));
+            fold.finals.push((id, Status::Done));
+            changes.extend(c);
         }
-        let seat = self.seat;
-        for j in self.jobs.values_mut() {
-            if j.dirty.is_empty() || j.cancelled || j.finishing.is_some() || j.complete() {
-                continue;
+    }
+
+    /// What is done of jobs that go on, of those first where a change lets the most be forgotten.
+    fn fold_chunks(&mut self, ctx: &mut Ctx, fold: &mut Fold, changes: &mut Vec<Change>) {
+        let left = ctx.cfg.txn_ops.saturating_sub(changes.len());
+        let most = changes.len() + left.min(ctx.budget.room(Class::Fold));
+        let mut ripe: Vec<(Reverse<usize>, JobId)> = Vec::new();
+        let jobs = &self.jobs;
+        self.dirty.retain(|id| {
+            let Some(j) = jobs.get(id).filter(|j| !j.dirty.is_empty() && !j.cancelled) else {
+                return false;
+            };
+            // Soon over, perhaps: its final state makes this write needless.
+            let late = j.dirty_since.is_some_and(|t| ctx.now >= t + RIPE_MS);
+            if (late || j.unfolded.len() >= RIPE) && j.finishing.is_none() && !j.complete() {
+                ripe.push((Reverse(j.unfolded.len()), *id));
             }
-            if full(&changes, bytes, j.dirty.len()) {
+            true
+        });
+        ripe.sort_unstable();
+        let mut bytes = 0;
+        for (_, id) in ripe {
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            if changes.len() + j.dirty.len() > most || bytes > MOST_BYTES {
                 break;
             }
-            let chunks: Vec<u32> = std::mem::take(&mut j.dirty).into_iter().collect();
+            self.dirty.remove(&id);
+            j.dirty_since = None;
             j.stored = true;
+            let chunks: Vec<u32> = std::mem::take(&mut j.dirty).into_iter().collect();
             for &c in &chunks {
                 let text = j.done.encode_chunk(c);
                 bytes += text.len();
-                let key = keys::run_key(seat, j.id, c);
+                let key = keys::run_key(self.seat, j.id, c);
                 changes.push(Change::Put { key, value: Value::String(text), lease: None });
             }
-            chunks_of.push((j.id, chunks));
-            acks.push((j.id, std::mem::take(&mut j.unfolded)));
-        }
-        while changes.len() < most {
-            let Some(key) = self.finished_rounds.pop() else {
-                break;
-            };
-            changes.push(Change::Delete { key: key.clone() });
-            rounds.push(key);
-        }
-        if changes.is_empty() {
-            return;
-        }
-        // Deletions alone can wait for company.
-        if finals.is_empty() && chunks_of.is_empty() && changes.len() < most.min(8) {
-            self.finished_rounds.append(&mut rounds);
-            return;
-        }
-        self.fold_after = ctx.now + if finals.is_empty() { 1200 } else { FOLD_MS };
-        let mut write = self.write(Class::Fold, changes);
-        if let Some(call) = write.call(ctx.now, ctx.budget) {
-            ctx.store(OpKind::Fold { seat: self.seat, epoch: self.epoch }, call);
+            fold.chunks.push((id, chunks));
+            fold.acks.push((id, std::mem::take(&mut j.unfolded)));
         }
-        self.fold = Some(Fold { write, chunks: chunks_of, acks, finals, rounds });
     }
 
     /// False: the seat is lost.
@@ -187,7 +248,8 @@
         let Some(mut f) = self.fold.take() else {
             return true;
         };
-        match f.write.take(ctx.now, result) {
+        let Some(write) = &mut f.write else { return true };
+        match write.take(ctx.now, result) {
             Outcome::Done => {
                 for (id, acks) in f.acks {
                     self.acknowledge(ctx, id, acks);
@@ -206,10 +268,13 @@
             Outcome::NotDone | Outcome::Open => {
                 // Every change of a fold may be repeated: whatever happened, try again.
                 self.fold_after = ctx.now + 500;
-                self.finished_rounds.extend(f.rounds);
+                self.finals_after = ctx.now + 500;
+                self.rounds.delete_again(f.rounds);
                 for (id, chunks) in f.chunks {
                     if let Some(j) = self.jobs.get_mut(&id) {
                         j.dirty.extend(chunks);
+                        j.dirty_since.get_or_insert(ctx.now);
+                        self.dirty.insert(id);
                     }
                 }
                 for (id, acks) in f.acks {
@@ -218,6 +283,7 @@
                     }
                 }
                 // The final states, perhaps written, stay in the making and are tried again.
+                self.over.extend(f.finals.into_iter().map(|(id, _)| (id, ctx.now)));
             }
         }
         true
@@ -266,7 +332,8 @@
         j.cancel_reqs.push(req);
         if j.finishing.is_none() && !j.complete() {
             j.finishing = Some(Status::Cancelled);
-            self.write_final(ctx, id, Status::Cancelled);
+            self.cancelling.insert(id);
+            self.write_cancellations(ctx);
         }
         true
     }
--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -62,6 +62,8 @@
                     self.feed = jobs;
                 }
                 self.take_decisions(ctx);
+                let done = self.jobs.values().filter(|j| j.complete() && !j.cancelled);
+                self.over = done.map(|j| (j.id, ctx.now)).collect();
                 ctx.wake = true;
                 let (s, n) = (self.seat.0, self.jobs.len());
                 ctx.out.log(1, "seat_loaded", || format!("seat={s} jobs={n}"));
@@ -85,6 +87,7 @@
         let age = ctx.time_ms.saturating_sub(value["at"].as_u64().unwrap_or(ctx.time_ms));
         let shape = ctx.names.shape(&Arc::new(wire_shape(&wire)));
         self.jobs.insert(id, Job::new(id, wire, shape, ctx.now.saturating_sub(age), &ctx.cfg.aims));
+        self.pending.insert(id);
         ctx.wake = true;
     }
 
@@ -106,7 +109,8 @@
                 continue;
             };
             let round = self.next_round_id();
-            self.rounds.insert(round, (key.clone(), 0));
+            let mut live = 0;
+            let mut replaced = Vec::new();
             let empty = Vec::new();
             for p in value["p"].as_array().unwrap_or(&empty) {
                 let (Some(job), Some(task), Some(machine), Some(session), Some(zone)) =
@@ -137,16 +141,13 @@
                         .as_u64()
                         .map(|t| (t as u8, p[6].as_u64().unwrap_or(0), p[7].as_u64().unwrap_or(0))),
                 };
-                if let Some(r) = self.rounds.get_mut(&round) {
-                    r.1 += 1;
-                }
-                if let Some(old) = j.placed.insert(task, new) {
-                    self.round_less(old.round);
-                }
+                live += 1;
+                replaced.extend(j.placed.insert(task, new).map(|old| old.round));
             }
-            if self.rounds.get(&round).is_some_and(|r| r.1 == 0) {
-                self.rounds.remove(&round);
-                self.finished_rounds.push(key);
+            // Of an older epoch: its version is not known here.
+            self.rounds.open(round, key, None, live);
+            for old in replaced {
+                self.rounds.one_less(old);
             }
         }
     }
--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -12,6 +12,8 @@
 use leaddeal_wire::state::Change;
 use leaddeal_wire::user::{Kind, Status};
 use leaddeal_wire::worker::{TaskState, Why};
+use rounds::{Record as Slot, Rounds};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -19,14 +21,16 @@
 mod limits;
 mod load;
 mod round;
+mod rounds;
 
 /// Answers to a request for offers are waited for no longer than this.
 pub const OFFERS_MS: u64 = 2000;
 const ITEMS: usize = 14;
 /// A request names at most this many kinds of GPU work.
 const GPU_KINDS: usize = 16;
+/// The buyer is told of so many jobs without a place, the most important ones.
+const LACKS: usize = 60;
 const RESEND_MS: u64 = 2000;
-const FOLD_MS: u64 = 300;
 
 /// What a part is told yes to, for a job: its shape and the picks.
 type Yes = (Arc<WireShape>, Vec<Pick>);
@@ -61,7 +65,7 @@
 
 #[derive(Debug)]
 struct Writing {
-    key: String,
+    slot: Slot,
     round: u64,
     attempt: Attempt,
     choices: Vec<Choice>,
@@ -70,9 +74,9 @@
     write: Write,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Fold {
-    write: Write,
+    write: Option<Write>,
     chunks: Vec<(JobId, Vec<u32>)>,
     acks: Vec<(JobId, Vec<DoneOn>)>,
     finals: Vec<(JobId, Status)>,
@@ -95,10 +99,20 @@
     writing: Option<Writing>,
     next_talk: u64,
     round: u64,
-    rounds: BTreeMap<u64, (String, u32)>,
-    finished_rounds: Vec<String>,
+    rounds: Rounds,
+    /// Jobs that may have tasks to be placed; who has none any more is taken out when looked at.
+    pending: BTreeSet<JobId>,
+    /// Jobs whose tasks are all done and whose final state is not written, since when.
+    over: BTreeMap<JobId, Now>,
+    /// Jobs of which something is done that is not in the store.
+    dirty: BTreeSet<JobId>,
+    /// Cancellations being written.
+    cancelling: BTreeSet<JobId>,
     fold: Option<Fold>,
+    finals_after: Now,
     fold_after: Now,
+    /// Picks of all decisions, and how many decisions; for the log.
+    picked: (u64, u64),
     /// Revision of the list of jobs that was loaded.
     pub loaded_from: u64,
     /// Told to hand the seat over: no new rounds.
@@ -126,10 +140,15 @@
             writing: None,
             next_talk: 0,
             round: 0,
-            rounds: BTreeMap::new(),
-            finished_rounds: Vec::new(),
+            rounds: Rounds::default(),
+            pending: BTreeSet::new(),
+            over: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            cancelling: BTreeSet::new(),
             fold: None,
+            finals_after: 0,
             fold_after: 0,
+            picked: (0, 0),
             loaded_from: 0,
             leaving: false,
             part_epochs: vec![Epoch(0); seats],
@@ -161,17 +180,6 @@
         self.round
     }
 
-    fn round_less(&mut self, round: u64) {
-        if let Some(r) = self.rounds.get_mut(&round) {
-            r.1 = r.1.saturating_sub(1);
-            if r.1 == 0 {
-                let key = std::mem::take(&mut r.0);
-                self.rounds.remove(&round);
-                self.finished_rounds.push(key);
-            }
-        }
-    }
-
     pub fn handle(&mut self, ctx: &mut Ctx, from: Seat, msg: SeatMsg) {
         match msg {
             SeatMsg::Offers { negotiation, offers, coming } => {
@@ -273,7 +281,12 @@
         if let Phase::Exited(Why::Done, _) = e.phase {
             if j.wire.kind != Kind::Service && !j.cancelled {
                 j.errors = 0;
-                j.set_done(e.task);
+                j.set_done(e.task, now);
+                if j.complete() {
+                    self.over.insert(id, now);
+                } else {
+                    self.dirty.insert(id);
+                }
                 j.unfolded.push((e.task, p.attempt, p.machine, p.round));
                 ctx.wake = true;
                 return None;
@@ -289,13 +302,14 @@
             _ => j.not_before = j.not_before.min(now),
         }
         j.give_back(e.task);
+        self.pending.insert(id);
         if j.wire.kind == Kind::Gang {
             // Won whole or not at all: the rest of the attempt stops.
             j.placed.stop_rest(0.0);
             self.next_resend = now;
         }
         let empty_leftover = j.cancelled && j.placed.is_empty();
-        self.round_less(p.round);
+        self.rounds.one_less(p.round);
         if empty_leftover {
             self.drop_cancelled(id);
         }
@@ -376,26 +390,7 @@
             self.read_on(ctx);
             return;
         }
-        let again: Vec<JobId> = self
-            .jobs
-            .values_mut()
-            .filter(|j| {
-                j.finishing == Some(Status::Cancelled)
-                    && j.refusals == u32::MAX
-                    && ctx.now >= j.not_before
-            })
-            .map(|j| {
-                j.refusals = 0;
-                j.id
-            })
-            .collect();
-        for id in again {
-            if ctx.valid {
-                self.write_final(ctx, id, Status::Cancelled);
-            } else if let Some(j) = self.jobs.get_mut(&id) {
-                j.refusals = u32::MAX;
-            }
-        }
+        self.write_cancellations(ctx);
         self.check_talk(ctx);
         self.write_decision(ctx);
         self.resend(ctx);
@@ -410,10 +405,17 @@
         if !self.ready() {
             return Vec::new();
         }
-        self.jobs
-            .values()
+        let jobs = self.pending.iter().filter_map(|id| self.jobs.get(id));
+        let mut lacking: Vec<(_, &Job)> = jobs
             .filter(|j| !j.cancelled && j.finishing.is_none() && j.pending() > 0 && j.errors < 4)
-            .take(60)
+            .map(|j| ((Reverse(j.wire.priority), j.created, j.id), j))
+            .collect();
+        // (Found at five times a fleet: the first by their names were told, not the first in turn.)
+        lacking.sort_unstable_by_key(|l| l.0);
+        lacking
+            .into_iter()
+            .map(|l| l.1)
+            .take(LACKS)
             .map(|j| Lack {
                 job: j.id.0,
                 shape: j.shape.wire.clone(),
@@ -425,6 +427,23 @@
             .collect()
     }
 
+    /// For the operators' log: what is kept and what waits to be written.
+    pub fn figures(&mut self, now: Now) -> String {
+        let oldest = self.over.values().min().map_or(0, |at| now.saturating_sub(*at));
+        let unfolded: usize =
+            self.dirty.iter().filter_map(|id| self.jobs.get(id)).map(|j| j.unfolded.len()).sum();
+        let (live, spare) = self.rounds.count();
+        let (picks, rounds) = std::mem::take(&mut self.picked);
+        format!(
+            "seat={} jobs={} waiting={} untold={} oldest_untold_ms={oldest} unfolded={unfolded} \
+             decisions={live} spare={spare} rounds={rounds} picks={picks}",
+            self.seat.0,
+            self.jobs.len(),
+            self.pending.len(),
+            self.over.len(),
+        )
+    }
+
     /// The seat is lost: whoever waits for an answer has to ask again.
     pub fn abandon(&mut self, ctx: &mut Ctx) {
         for j in self.jobs.values_mut() {
--- a/crates/core/src/coordinator/round.rs
+++ b/crates/core/src/coordinator/round.rs
@@ -17,21 +17,30 @@
 
 impl Coordinator {
     /// Jobs that may have a task placed now, the most important first.
-    pub(super) fn order(&self, now: Now) -> Vec<JobId> {
+    pub(super) fn order(&mut self, now: Now) -> Vec<JobId> {
+        let jobs = &self.jobs;
+        self.pending.retain(|id| jobs.get(id).is_some_and(|j| !j.cancelled && j.pending() > 0));
+        debug_assert!(
+            jobs.values().all(|j| j.cancelled || j.pending() == 0 || self.pending.contains(&j.id)),
+            "a job that wants tasks placed is not looked at"
+        );
         let mut v: Vec<_> = self
-            .jobs
-            .values()
-            .filter(|j| {
-                !j.cancelled && j.finishing.is_none() && j.not_before <= now && j.pending() > 0
-            })
+            .pending
+            .iter()
+            .filter_map(|id| jobs.get(id))
+            .filter(|j| j.finishing.is_none() && j.not_before <= now)
             .filter(|j| j.wire.kind != Kind::Gang || j.placed.is_empty())
             .map(|j| {
                 let (late, due) = j.urgency(now);
                 (std::cmp::Reverse(j.wire.priority), late, due, j.created, j.id)
             })
             .collect();
+        if v.len() > ITEMS {
+            v.select_nth_unstable(ITEMS);
+            v.truncate(ITEMS);
+        }
         v.sort_unstable();
-        v.into_iter().take(ITEMS).map(|x| x.4).collect()
+        v.into_iter().map(|x| x.4).collect()
     }
 
     pub fn start_round(&mut self, ctx: &mut Ctx) {
@@ -43,6 +52,10 @@
         {
             return;
         }
+        // What waits for the next change that may be written makes for a larger round.
+        if self.pending.is_empty() || ctx.budget.room(Class::Decision) == 0 {
+            return;
+        }
         let ids = self.order(ctx.now);
         if ids.is_empty() {
             return;
@@ -230,7 +243,9 @@
         }
         let round = self.next_round_id();
         let attempt = Attempt::new(self.epoch, round);
-        let key = keys::decision_key(self.seat, self.epoch, round);
+        let (seat, epoch) = (self.seat, self.epoch);
+        let slot = self.rounds.record(|| keys::decision_key(seat, epoch, round));
+        self.picked = (self.picked.0 + choices.len() as u64, self.picked.1 + 1);
         let picks: Vec<Value> = choices
             .iter()
             .map(|c| {
@@ -244,8 +259,9 @@
             })
             .collect();
         let value = json!({"a": attempt.0, "p": picks});
-        let put = Change::Put { key: key.clone(), value, lease: None };
-        let mut write = self.write(Class::Decision, vec![put]).creating(key.clone());
+        let put = Change::Put { key: slot.key.clone(), value, lease: None };
+        let mut write = self.write(Class::Decision, vec![put]);
+        write = write.creating(slot.key.clone(), slot.version);
         // A grant of a team's seat ends with the owner that gave it.
         for (team, g) in &self.grants {
             let used = choices.iter().any(|c| {
@@ -261,7 +277,7 @@
             }
         }
         self.writing = Some(Writing {
-            key,
+            slot,
             round,
             attempt,
             choices,
@@ -285,17 +301,32 @@
             return true;
         };
         match w.write.take(ctx.now, result) {
-            Outcome::Done => self.winners(ctx),
+            Outcome::Done => {
+                // Learned by a conflict, it is written at a revision that is not known.
+                let version = match result {
+                    StoreResult::Committed(revision) => Some(*revision),
+                    _ => None,
+                };
+                self.winners(ctx, version);
+            }
             Outcome::Fenced => return false,
-            Outcome::NotDone => self.losers(ctx),
+            Outcome::NotDone => {
+                let slot = w.slot.clone();
+                let lost = matches!(result, StoreResult::Conflict(f) if f.contains(&slot.key));
+                // Somebody else wrote to it, which nobody does: it is left alone.
+                if !lost {
+                    self.rounds.not_written(slot);
+                }
+                self.losers(ctx);
+            }
             Outcome::Open => {}
         }
         true
     }
 
-    pub(super) fn winners(&mut self, ctx: &mut Ctx) {
+    fn winners(&mut self, ctx: &mut Ctx, version: Option<u64>) {
         let Some(w) = self.writing.take() else { return };
-        self.rounds.insert(w.round, (w.key.clone(), 0));
+        let mut live = 0;
         let mut yes: BTreeMap<(Seat, JobId), Yes> = BTreeMap::new();
         for c in w.choices {
             let Some(j) = self.jobs.get_mut(&c.job) else {
@@ -318,12 +349,11 @@
             // Cancelled while the decision was being written: it was never said.
             if j.cancelled || j.finishing.is_some() {
                 j.give_back(c.task);
+                self.pending.insert(c.job);
                 continue;
             }
             j.placed.insert(c.task, p);
-            if let Some(r) = self.rounds.get_mut(&w.round) {
-                r.1 += 1;
-            }
+            live += 1;
             let e = yes.entry((c.seat, c.job)).or_insert((j.shape.wire.clone(), Vec::new()));
             e.1.push(Pick {
                 task: c.task,
@@ -332,10 +362,7 @@
                 session: c.offer.session,
             });
         }
-        if self.rounds.get(&w.round).is_some_and(|r| r.1 == 0) {
-            self.rounds.remove(&w.round);
-            self.finished_rounds.push(w.key);
-        }
+        self.rounds.open(w.round, w.slot.key, version, live);
         for ((seat, job), (shape, picks)) in yes {
             ctx.send(self.seat, seat, SeatMsg::Place { job: job.0, shape, picks, adopt: false });
         }
@@ -343,12 +370,13 @@
         ctx.wake = true;
     }
 
-    pub(super) fn losers(&mut self, ctx: &mut Ctx) {
+    fn losers(&mut self, ctx: &mut Ctx) {
         let Some(w) = self.writing.take() else { return };
         for c in &w.choices {
             if let Some(j) = self.jobs.get_mut(&c.job) {
                 j.give_back(c.task);
                 j.not_before = ctx.now + 500;
+                self.pending.insert(c.job);
             }
         }
         self.close(ctx, w.negotiation, &w.asked);
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -53,7 +53,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BuyerOp {
     List,
-    Rent,
+    /// The request's number.
+    Rent(u64),
     Release,
 }
 
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -339,8 +339,9 @@
         self.load().gpu_work
     }
 
-    /// Commands for the answer to a report.
-    pub fn orders(&mut self, now: Now, most: usize) -> Vec<Order> {
+    /// Commands for the answer to a report; `starts`: the lease under which they are given is
+    /// certainly not over.
+    pub fn orders(&mut self, now: Now, most: usize, starts: bool) -> Vec<Order> {
         let mut v = Vec::new();
         let session = self.session;
         let order = |op, k: &Key, grace_s| Order {
@@ -354,6 +355,7 @@
                 break;
             }
             match (t.phase, t.stop) {
+                (Phase::Decided, _) if !starts => {}
                 (Phase::Decided, None) if t.session == session && !t.adopted => {
                     t.answered = true;
                     v.push(order(Op::Start, k, None));
@@ -455,4 +457,21 @@
         assert!(m.apply(&report(2), Epoch(5), false, first - 10));
         assert!(m.lease_over_at(8000) >= first - 10 + 8000, "it may have begun just now");
     }
+
+    /// Guards a cancelled job's task against an owner whose lease is in doubt.
+    #[test]
+    fn in_doubt_nothing_is_started_and_stops_go_on() {
+        let mut m = Machine::new(0);
+        m.session = 1;
+        let key = |task| (JobId(7), task, Attempt(9));
+        m.tasks.insert(key(0), TaskOn::new(None, Phase::Decided, 1));
+        let mut runs = TaskOn::new(None, Phase::On(TaskState::Running), 1);
+        runs.stop = Some(StopWish { grace_s: 0.0, since: 0 });
+        m.tasks.insert(key(1), runs);
+        let ops = |m: &mut Machine, starts| -> Vec<(Op, u32)> {
+            m.orders(0, 9, starts).iter().map(|o| (o.op, o.task.task)).collect()
+        };
+        assert_eq!(ops(&mut m, false), [(Op::Stop, 1)]);
+        assert_eq!(ops(&mut m, true), [(Op::Start, 0), (Op::Stop, 1)]);
+    }
 }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -74,8 +74,10 @@
     Events(Events),
     /// The watch is too far behind.
     TooOld,
-    /// Certainly not executed (429, 503).
+    /// Certainly not executed (503).
     Refused,
+    /// Certainly not executed: over the service's limits (429).
+    TooMany,
     /// May have been executed, or may yet be.
     Unknown,
 }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -44,6 +44,8 @@
     /// Durable and told: no task of it may start any more.
     pub cancelled: bool,
     pub dirty: BTreeSet<u32>,
+    /// Since when something is done that is not in the store.
+    pub dirty_since: Option<Now>,
     /// What is done is in the store, or may be: chunks were written.
     pub stored: bool,
     /// Done events to be acknowledged once they are durable.
@@ -148,6 +150,7 @@
             errors: 0,
             cancelled: false,
             dirty: BTreeSet::new(),
+            dirty_since: None,
             stored: false,
             unfolded: Vec::new(),
             finishing: None,
@@ -308,8 +311,9 @@
         }
     }
 
-    pub fn set_done(&mut self, task: u32) {
+    pub fn set_done(&mut self, task: u32, now: Now) {
         if task < self.wire.tasks && self.done.set(task) {
+            self.dirty_since.get_or_insert(now);
             self.again.remove(&task);
             self.dirty.insert(task / CHUNK);
         }
@@ -332,7 +336,7 @@
     /// How many more tasks each zone may take, given those that may still be in one.
     pub fn zone_room(&self, zones: &[String]) -> Vec<u32> {
         let n = self.wire.tasks;
-        let any = !self.placed.is_empty();
+        let used = (0..zones.len()).filter(|&i| self.placed.in_zone(i) > 0).count();
         zones
             .iter()
             .enumerate()
@@ -341,7 +345,10 @@
                 if self.wire.zone.as_ref().is_some_and(|w| w != z) {
                     return 0;
                 }
-                if self.wire.one_zone && any && u == 0 {
+                // After a takeover a task may be counted where an older attempt of it was, in another
+                // zone than the rest; until that one is proven gone, no zone is the job's. (Found
+                // by the simulator: both zones were given more tasks.)
+                if self.wire.one_zone && (used > 1 || used == 1 && u == 0) {
                     return 0;
                 }
                 if self.wire.spread {
@@ -357,6 +364,7 @@
 mod tests {
     use super::*;
     use crate::names::Names;
+    use crate::placed::Placement;
     use user::Priority;
 
     #[test]
@@ -409,6 +417,36 @@
         assert_eq!(j.not_before, now + 5000, "after failures it waits all the same");
     }
 
+    #[test]
+    fn a_job_of_one_zone_that_may_be_in_two_gets_no_more_tasks() {
+        use crate::ids::Seat;
+        let mut names = Names::default();
+        let mut j = Job::leftover(JobId(7), &mut names);
+        (j.wire.one_zone, j.wire.tasks) = (true, 9);
+        let zones = ["a", "b", "c"].map(String::from);
+        let placement = |zone| Placement {
+            attempt: Attempt(1),
+            machine: MachineIdx(0),
+            part: Seat(0),
+            session: 1,
+            zone: ZoneIdx(zone),
+            phase: mesh::Phase::Decided,
+            round: 1,
+            placed_at: 0,
+            sent_at: 0,
+            stop: None,
+            adopted: true,
+            team: None,
+        };
+        assert_eq!(j.zone_room(&zones), [9, 9, 9]);
+        j.placed.insert(0, placement(1));
+        assert_eq!(j.zone_room(&zones), [0, 9, 0]);
+        j.placed.insert(3, placement(0));
+        assert_eq!(j.zone_room(&zones), [0, 0, 0]);
+        j.placed.remove(3);
+        assert_eq!(j.zone_room(&zones), [0, 9, 0]);
+    }
+
     /// A job older than the process must keep its age, or its order and urgency are lost.
     #[test]
     fn urgency_counts_from_the_submission() {
--- a/crates/core/src/node/finals.rs
+++ b/crates/core/src/node/finals.rs
@@ -20,10 +20,17 @@
             let mut c = ctx!(self, out);
             let heard = c.owner(seat).filter(|o| o.node != c.me && !c.reachable(seat));
             let Some(owner) = heard.filter(|_| self.owned.iter().any(Option::is_some)) else {
-                self.finals[i] = None;
+                if self.finals[i].take().is_some() {
+                    for o in self.owned.iter_mut().flatten() {
+                        o.part.hears(seat, c.view.len());
+                    }
+                }
                 continue;
             };
-            let since = self.heard[owner.node.0 as usize].saturating_sub(FINALS_BACK_MS);
+            // What was cancelled just before it was last heard may have been told to another owner
+            // of our machines, who did not come to act on it.
+            let back = FINALS_BACK_MS + self.cfg.cancel_ms;
+            let since = self.heard[owner.node.0 as usize].saturating_sub(back);
             let mark = || self.marks.iter().rev().find(|m| m.0 <= since).map_or(0, |m| m.1);
             let feed = self.finals[i]
                 .get_or_insert_with(|| Feed::since(keys::final_prefix(seat), mark(), WAIT_MS));
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,5 +1,5 @@
 //! One controller: the lease, the seats it owns, and what each input means for them.
-use crate::budget::Budget;
+use crate::budget::{Budget, CLASSES};
 use crate::buyer::Buyer;
 use crate::coordinator::Coordinator;
 use crate::ctx::{Ask, Config, Ctx, OpKind, Ops};
@@ -20,12 +20,14 @@
 /// Requests under way beyond this are refused at once.
 const MOST_CALLS: usize = 300;
 const TICK_SLOW_MS: u64 = 1000;
+/// The operators' figures are logged this often.
+const FIGURES_MS: u64 = 60_000;
 /// What a worker takes to find another node, and its commands to take effect.
 const LET_GO_MS: u64 = 12_000;
 /// Final states are read from so long before a sibling was last heard: what it sent until then
 /// came, or was sent again.
 const FINALS_BACK_MS: u64 = 5000;
-/// Remembered revisions of the store, one a second.
+/// Remembered revisions of the store, one a second, beyond what a cancellation may take.
 const MARKS: usize = 20;
 
 /// The context of one input, made anew so that other fields of the node can be used beside it.
@@ -100,6 +102,9 @@
     relays: HashMap<ReqId, (String, u64)>,
     catalog_at: Now,
     slow_at: Now,
+    figures_at: Now,
+    /// Changes by class that were logged already.
+    logged: [u64; CLASSES.len()],
     next_acquire: Vec<Now>,
     wake: bool,
     looked: u64,
@@ -153,6 +158,8 @@
             relays: HashMap::new(),
             catalog_at: now,
             slow_at: now,
+            figures_at: now + FIGURES_MS,
+            logged: [0; CLASSES.len()],
             next_acquire: vec![0; n],
             nodes,
             wake: false,
@@ -198,10 +205,13 @@
             Input::Mesh { from, msg } => self.mesh(&mut out, &from, *msg),
             Input::Store { op, result } => {
                 if let Some(kind) = self.ops.open.remove(&op) {
-                    if !matches!(result, StoreResult::Refused | StoreResult::Unknown) {
+                    if !matches!(
+                        result,
+                        StoreResult::Refused | StoreResult::TooMany | StoreResult::Unknown
+                    ) {
                         self.state_ok_at = now;
                     }
-                    if matches!(result, StoreResult::Refused) && kind.writes() {
+                    if matches!(result, StoreResult::TooMany) && kind.writes() {
                         self.budget.refused(now);
                     }
                     self.revision = self.revision.max(match &result {
@@ -369,16 +379,34 @@
         }
     }
 
+    /// What was written and what waits to be: in the log, once a minute.
+    fn log_figures(&mut self, out: &mut Out) {
+        let spent = CLASSES.map(|c| self.budget.spent(c));
+        let (rate, refusals) = (self.budget.rate(), self.budget.refusals());
+        let logged = std::mem::replace(&mut self.logged, spent);
+        out.log(1, "changes", || {
+            let by = CLASSES.iter().zip(spent.iter().zip(logged));
+            let by: Vec<String> = by.map(|(c, (n, was))| format!("{c:?}={}", n - was)).collect();
+            format!("{} rate={rate:.1}/s refused={refusals}", by.join(" ").to_lowercase())
+        });
+        for o in self.owned.iter_mut().flatten() {
+            let what = o.coordinator.figures(out.now);
+            out.log(1, "seat", || what);
+        }
+    }
+
     fn slow_tick(&mut self, out: &mut Out) {
         let now = out.now;
+        if now >= self.figures_at {
+            self.figures_at = now + FIGURES_MS;
+            self.log_figures(out);
+        }
         self.marks.push_back((now, self.revision));
-        if self.marks.len() > MARKS {
+        if self.marks.len() > MARKS + self.cfg.cancel_ms as usize / 1000 {
             self.marks.pop_front();
         }
-        let owned: Vec<(u8, u64)> = match self.lease.valid(now) {
-            true => self.owned_seats().iter().map(|(s, e)| (s.0, e.0)).collect(),
-            false => Vec::new(),
-        };
+        // Told though our lease may be in doubt: an older owner's time is over all the same.
+        let owned: Vec<(u8, u64)> = self.owned_seats().iter().map(|(s, e)| (s.0, e.0)).collect();
         for (i, n) in self.nodes.iter().enumerate() {
             if i != self.me.0 as usize {
                 let msg = NodeMsg::Beat { owned: owned.clone() };
--- a/crates/core/src/node/seats.rs
+++ b/crates/core/src/node/seats.rs
@@ -8,7 +8,7 @@
 use crate::io::{Out, StoreCall};
 use crate::keys;
 use crate::part::Part;
-use crate::seat::{Owner, SeatView, LEASE_MS, RENEW_MS};
+use crate::seat::{Owner, Seen, LEASE_MS, RENEW_MS};
 use crate::teams::Desk;
 use leaddeal_wire::state::{Change, Cond, Txn};
 use serde_json::json;
@@ -35,6 +35,8 @@
         if seat == BUYER_SEAT {
             self.buyer = Some((epoch, Buyer::new(epoch, now)));
         }
+        // The new part has to be told all that the others know.
+        self.finals.fill_with(|| None);
         self.spread_view();
         self.share_writes();
         let mut c = ctx!(self, out);
@@ -77,26 +79,22 @@
         }
     }
 
-    pub(super) fn see_seat(
-        &mut self,
-        out: &mut Out,
-        key: &str,
-        value: Option<(&serde_json::Value, u64)>,
-    ) {
+    pub(super) fn see_seat(&mut self, out: &mut Out, key: &str, seen: Seen) {
         let now = out.now;
         let Some(seat) = keys::parse_seat_key(key).filter(|s| (s.0 as usize) < self.view.len())
         else {
             return;
         };
         let i = seat.0 as usize;
-        let Some((v, version)) = value else {
-            if self.view[i].owner.is_some() {
-                self.view[i] = SeatView { owner: None, vacant_since: now, trying: false };
-            }
-            if self.owned[i].is_some() {
-                self.drop_seat(out, seat);
+        let (v, version) = match seen {
+            Seen::Owned(v, version) => (v, version),
+            Seen::Vacant(revision) => {
+                self.view[i].vacate(revision, now);
+                if self.owned[i].as_ref().is_some_and(|o| o.epoch.0 <= revision) {
+                    self.drop_seat(out, seat);
+                }
+                return;
             }
-            return;
         };
         let epoch = Epoch(version);
         let node = v["node"].as_str().and_then(|n| self.nodes.iter().position(|x| x == n));
--- a/crates/core/src/node/siblings.rs
+++ b/crates/core/src/node/siblings.rs
@@ -20,9 +20,8 @@
                 for (seat, epoch) in owned {
                     let seat = Seat(seat);
                     let Some(v) = self.view.get_mut(seat.0 as usize) else { continue };
-                    if v.owner.is_none_or(|o| o.epoch.0 < epoch) {
-                        let node = NodeIdx(n as u8);
-                        v.owner = Some(Owner { node, boot: 0, epoch: Epoch(epoch) });
+                    let node = NodeIdx(n as u8);
+                    if v.claimed(Owner { node, boot: 0, epoch: Epoch(epoch) }) {
                         if self.owned[seat.0 as usize].is_some() {
                             self.drop_seat(out, seat);
                         }
--- a/crates/core/src/node/stored.rs
+++ b/crates/core/src/node/stored.rs
@@ -5,7 +5,7 @@
 use crate::io::{Out, StoreCall, StoreResult};
 use crate::jobs::job_state;
 use crate::keys;
-use crate::seat::{Lease, SeatView};
+use crate::seat::{Lease, Seen};
 use leaddeal_wire::user::{self, JobState, Status};
 
 impl Node {
@@ -48,7 +48,9 @@
                 for i in 0..self.view.len() {
                     let key = keys::seat_key(Seat(i as u8));
                     let item = p.items.iter().find(|x| x.key == key);
-                    self.see_seat(out, &key, item.map(|x| (&x.value, x.version)));
+                    let seen =
+                        item.map_or(Seen::Vacant(p.revision), |x| Seen::Owned(&x.value, x.version));
+                    self.see_seat(out, &key, seen);
                 }
                 self.view_known = true;
                 self.watch_seats(out, p.revision);
@@ -58,14 +60,10 @@
                 StoreResult::Events(e) => {
                     for ev in &e.events {
                         if let Some(k) = &ev.put {
-                            self.see_seat(out, k, Some((&ev.value, ev.version)));
+                            self.see_seat(out, k, Seen::Owned(&ev.value, ev.version));
                         } else if let Some(k) = &ev.delete {
-                            let i = keys::parse_seat_key(k).map_or(0, |s| s.0 as usize);
-                            // A deletion older than the acquisition we know of says nothing.
-                            let newer = self.view.get(i).and_then(|v| v.owner);
-                            if newer.is_none_or(|o| o.epoch.0 <= ev.version) {
-                                self.see_seat(out, k, None);
-                            }
+                            // Older than the acquisition we know of, it says nothing.
+                            self.see_seat(out, k, Seen::Vacant(ev.version));
                         }
                     }
                     self.watch_seats(out, e.revision);
@@ -95,13 +93,13 @@
                     return;
                 };
                 match result {
-                    StoreResult::Committed(_) => {
+                    StoreResult::Committed(revision) => {
                         self.drop_seat(out, seat);
-                        self.view[i] = SeatView { owner: None, vacant_since: now, trying: false };
+                        self.view[i].vacate(revision, now);
                         self.next_acquire[i] = now + 2000;
                     }
                     StoreResult::Conflict(_) => self.drop_seat(out, seat),
-                    StoreResult::Refused => {
+                    StoreResult::Refused | StoreResult::TooMany => {
                         if let Some(o) = &mut self.owned[i] {
                             o.releasing = false;
                         }
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -1,7 +1,9 @@
 //! A seat's machines: holds room, offers it, starts what was decided, and proves what is gone.
 use crate::ctx::Ctx;
 use crate::fleet::{Key, Machine, StopWish, TaskOn};
-use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, BUYER_SEAT};
+use crate::ids::{
+    seat_of_job, Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, BUYER_SEAT,
+};
 use crate::names::{Names, Room, Shape};
 use crate::seat::at_least;
 use leaddeal_wire::mesh::{AttemptRef, Phase, Pick, SeatMsg, TaskEvent};
@@ -79,6 +81,8 @@
     freed: bool,
     /// When those with the most important shortage were told; the others follow.
     top_told_at: Option<Now>,
+    /// Jobs that are over, of seats whose owner is not heard: read from the store.
+    over: BTreeSet<JobId>,
     /// Machines with something to tell that can wait.
     lazy: BTreeSet<MachineIdx>,
     lazy_at: Now,
@@ -138,6 +142,7 @@
             short: vec![Short::default(); seats],
             freed: false,
             top_told_at: None,
+            over: BTreeSet::new(),
             lazy: BTreeSet::new(),
             lazy_at: now,
         }
@@ -200,7 +205,10 @@
         }
         let stale = (r.session, r.seq) != (m.session, m.seq);
         m.granted = now;
-        let orders = if stale || !ctx.valid { Vec::new() } else { m.orders(now, ORDERS) };
+        // Stops go on while our lease is in doubt: what was to stop is durable, and a stop is never
+        // wrong. (Found by the simulator: a cancelled task ran on with an owner that the store's
+        // outage had caught between the cancellation and the worker's first report to it.)
+        let orders = if stale { Vec::new() } else { m.orders(now, ORDERS, ctx.valid) };
         Some(Answer { token: epoch.0, orders })
     }
 
@@ -270,6 +278,7 @@
             m.recount();
         }
         let over_at = m.lease_over_at(ctx.cfg.worker_lease_ms);
+        self.stop_over(idx, now);
         self.look_at(idx, over_at);
         self.freed |= freed;
         self.dirty.insert(idx);
@@ -450,6 +459,7 @@
     /// The job's final state is written: whatever of it is here stops, told so by its
     /// coordinator or not.
     pub fn job_over(&mut self, ctx: &mut Ctx, job: JobId) {
+        self.over.insert(job);
         let here = (job, 0, Attempt(0))..=(job, u32::MAX, Attempt(u64::MAX));
         let mut all = Vec::new();
         for (&idx, m) in &self.machines {
@@ -465,6 +475,23 @@
         }
     }
 
+    /// Stops what a machine reports of jobs that are over. (Found by the simulator: a task was
+    /// reported only after its job's end had been read.)
+    fn stop_over(&mut self, idx: MachineIdx, now: Now) {
+        let Some(m) = self.machines.get_mut(&idx).filter(|_| !self.over.is_empty()) else { return };
+        for (k, t) in m.tasks.iter_mut().filter(|(_, t)| t.stop.is_none() && !t.over()) {
+            if self.over.contains(&k.0) {
+                t.stop = Some(StopWish { grace_s: 0.0, since: now });
+            }
+        }
+        m.recount();
+    }
+
+    /// The seat's owner is heard again, and tells by itself what is to stop.
+    pub fn hears(&mut self, seat: Seat, seats: usize) {
+        self.over.retain(|j| seat_of_job(*j, seats) != seat);
+    }
+
     /// Tells the coordinators what changed, and commands the workers.
     pub fn flush(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -28,11 +28,47 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SeatView {
     pub owner: Option<Owner>,
+    /// Whoever owned it at this revision or before owns it no more.
+    pub vacated: u64,
     pub vacant_since: Now,
     /// An acquisition is under way.
     pub trying: bool,
 }
 
+/// What the state service tells of a seat's key.
+#[derive(Clone, Copy, Debug)]
+pub enum Seen<'a> {
+    /// Its value and version.
+    Owned(&'a serde_json::Value, u64),
+    /// It is not there at this revision.
+    Vacant(u64),
+}
+
+impl SeatView {
+    /// Nobody owns it at that revision; the time is counted from when that was first seen.
+    pub fn vacate(&mut self, revision: u64, now: Now) {
+        self.vacated = self.vacated.max(revision);
+        if self.owner.is_some_and(|o| o.epoch.0 <= revision) {
+            self.owner = None;
+            self.vacant_since = now;
+            self.trying = false;
+        }
+    }
+
+    /// A sibling says that it owns the seat, and its lease may be in doubt: that is believed unless
+    /// the store has said that the seat was given up since. True: it is news.
+    ///
+    /// (Found by the simulator: beats of an owner in doubt told nothing of its seats, and the owner
+    /// before, whom the store refused, kept workers with cancelled tasks.)
+    pub fn claimed(&mut self, by: Owner) -> bool {
+        let news = self.owner.is_none_or(|o| o.epoch < by.epoch) && by.epoch.0 > self.vacated;
+        if news {
+            self.owner = Some(by);
+        }
+        news
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct Lease {
     pub id: Option<u64>,
@@ -53,3 +89,23 @@
         self.id.is_some() && now < self.renewed + at_most(GRACE_MS)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_claim_is_believed_unless_the_seat_was_given_up_since() {
+        let by = |epoch| Owner { node: NodeIdx(1), boot: 0, epoch: Epoch(epoch) };
+        let mut v = SeatView::default();
+        assert!(v.claimed(by(7)) && !v.claimed(by(7)) && !v.claimed(by(5)));
+        v.vacate(6, 100);
+        assert!(v.owner.is_some(), "an older deletion says nothing of a newer owner");
+        v.vacate(9, 100);
+        assert!(v.owner.is_none() && v.vacant_since == 100);
+        assert!(!v.claimed(by(7)), "it does not know yet that its lease is over");
+        v.vacate(9, 300);
+        assert_eq!(v.vacant_since, 100, "counted from when it was first seen");
+        assert!(v.claimed(by(12)));
+    }
+}
--- a/crates/core/src/writes.rs
+++ b/crates/core/src/writes.rs
@@ -26,10 +26,11 @@
 
 #[derive(Debug)]
 pub struct Write {
-    class: Class,
+    /// What it costs, by class.
+    costs: Vec<(Class, usize)>,
     seat: Seat,
     txn: Txn,
-    /// Created by this transaction and nothing else.
+    /// Created, or written over at that version, by this transaction and nothing else.
     creates: Option<String>,
     /// An earlier try may have been executed, or may yet be.
     unsure: bool,
@@ -42,16 +43,32 @@
     pub fn new(class: Class, seat: Seat, epoch: Epoch, changes: Vec<Change>) -> Write {
         let fence = Cond { key: keys::seat_key(seat), version: epoch.0 };
         let txn = Txn { conds: vec![fence], changes };
-        Write { class, seat, txn, creates: None, unsure: false, send_at: Some(0) }
+        let costs = vec![(class, txn.changes.len())];
+        Write { costs, seat, txn, creates: None, unsure: false, send_at: Some(0) }
     }
 
-    /// It creates this key, which no other transaction writes.
-    pub fn creating(mut self, key: String) -> Write {
-        self.txn.conds.push(Cond { key: key.clone(), version: 0 });
+    /// It creates this key (version 0), or writes over that version of it; no other transaction
+    /// does.
+    pub fn creating(mut self, key: String, version: u64) -> Write {
+        self.txn.conds.push(Cond { key: key.clone(), version });
         self.creates = Some(key);
         self
     }
 
+    /// So many of its changes are of this class instead.
+    pub fn of_which(mut self, class: Class, n: usize) -> Write {
+        if let Some(first) = self.costs.first_mut() {
+            first.1 -= n.min(first.1);
+        }
+        self.costs.push((class, n));
+        self
+    }
+
+    /// To be sent again after it was certainly not executed.
+    pub fn again(&mut self, at: Now) {
+        self.send_at = Some(at);
+    }
+
     pub fn also_if(mut self, cond: Cond) -> Write {
         if !self.txn.conds.contains(&cond) {
             self.txn.conds.push(cond);
@@ -65,7 +82,9 @@
             return None;
         }
         self.send_at = None;
-        budget.spend(self.class, self.txn.changes.len());
+        for &(class, n) in &self.costs {
+            budget.spend(class, n);
+        }
         Some(StoreCall::Txn(self.txn.clone()))
     }
 
@@ -82,7 +101,7 @@
             }
             // Whatever else failed fails for a late copy of an earlier try, too.
             StoreResult::Conflict(_) => Outcome::NotDone,
-            StoreResult::Refused if !self.unsure => Outcome::NotDone,
+            StoreResult::Refused | StoreResult::TooMany if !self.unsure => Outcome::NotDone,
             StoreResult::Unknown => {
                 self.unsure = true;
                 self.send_at = Some(now + NO_ANSWER_MS);
@@ -103,7 +122,7 @@
     fn write() -> (Write, Budget) {
         let changes = vec![Change::Delete { key: "d/0/x".into() }];
         let w = Write::new(Class::Decision, Seat(0), Epoch(7), changes);
-        (w.creating("d/0/7-1".into()), Budget::new(50.0, 3, 0))
+        (w.creating("d/0/7-1".into(), 0), Budget::new(50.0, 3, 0))
     }
 
     fn conflict(key: &str) -> StoreResult {
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -243,7 +243,8 @@
         Err(NoAnswer::Unknown) => return StoreResult::Unknown,
     };
     let known = match (&call, status) {
-        (_, 429 | 503) => Some(StoreResult::Refused),
+        (_, 503) => Some(StoreResult::Refused),
+        (_, 429) => Some(StoreResult::TooMany),
         (StoreCall::NewLease { .. }, 200) => {
             parse::<state::LeaseAnswer>(&body).map(|a| StoreResult::Lease(a.lease))
         }
