No more jobs come in than can be told; a store with limits in the simulator

Need: the simulator got the store's limit of changes, and at one that took two thirds of what came, finals were told after 67 s (9 of 10): new jobs came in freely between two refusals, each refusal cut everybody's rate, and cancellations and decisions took the rest.

Change: the floor of finals is twice that of new jobs, since a job takes one change to come in and two to be over; it does not go down with the rate. Refusals that follow each other hold the door for longer, up to 12 s; while work that is over has waited for 3 s, no more new jobs come in than there is room for. Decisions save up 6 s of their floor for bursts instead of writing ahead without end. The coordinator walks sets (waiting, unsettled, dirty, over) instead of all jobs.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,12 +1,12 @@
 //! This node's share of the changes that the state service takes each second, by what they are for.
 //!
-//! Each class has a floor: a part of what comes that no other class can take, saved up for at most
-//! a second. The rest, and what overflows, is common; each class leaves a reserve of it to others. `docs/state-budget.md` says why.
+//! Each class has a floor: a part of what comes that no other class can take, saved up for a few
+//! seconds. The rest, and what overflows, is common; each class leaves a reserve of it to others. `docs/state-budget.md` says why.
 //!
 //! Invariants, held by a test against a model:
 //! - a class that always asks gets at least its floor, whatever the others do;
-//! - what the classes that wait have written in any time is at most what came in it, a burst of
-//!   two seconds' worth besides, and what new jobs may write ahead;
+//! - what the classes that wait have written in any time is at most what came in it, besides what
+//!   was saved up, and what new jobs may write ahead;
 //! - the rate stays between a third of the fair share and the service's limit.
 //!
 //! (Found at three and five times a fleet: decisions and what was done took all there was, so
@@ -24,8 +24,7 @@
     Final,
     /// Choices. A round that waits is the larger.
     Decision,
-    /// New jobs: refused at once when two seconds' worth were written ahead, and the service has
-    /// refused something just now.
+    /// New jobs: refused at once when there is no room, and the service has refused something lately.
     Acceptance,
     /// What is done of jobs that go on.
     Fold,
@@ -43,16 +42,24 @@
     Class::Rest,
 ];
 
-/// Of what comes, so much is for each class at all times.
-const FLOOR: [f64; 7] = [0.0, 0.0, 0.2, 0.35, 0.25, 0.1, 0.0];
+/// Of what comes, so much is for each class at all times. A job takes one change to come in and two
+/// to be over: no more come in for long than can be told.
+const FLOOR: [f64; 7] = [0.0, 0.0, 0.4, 0.25, 0.2, 0.05, 0.0];
+/// Floors are saved up for so many seconds: after many machines died at once, their work is decided
+/// at once, too.
+const SAVED_S: [f64; 7] = [0.0, 0.0, 2.0, 6.0, 1.0, 1.0, 0.0];
 /// Of a second's worth in common, so much is left to other classes. Decisions leave more than
 /// folds: twice as many of them, half as large, take room no sooner.
 const RESERVE: [f64; 7] = [0.0, 0.0, 0.0, 0.3, 0.1, 0.2, 0.5];
 
 /// Of the service's limit this much is used, since clocks and bursts differ.
 const USED: f64 = 0.85;
-/// A refusal says this much about the time after it.
+/// A refusal says this much about the time after it; one that follows soon, twice as much.
 const TIGHT_MS: u64 = 1500;
+const TIGHT_MOST_MS: u64 = 12_000;
+const TIGHT_AGAIN_MS: u64 = 3000;
+/// New jobs are held to their room for so long after what is over was seen to wait.
+const BEHIND_MS: u64 = 1000;
 /// A refusal cuts the rate to this part, once a second at the most, and no lower than that part of
 /// the fair share.
 const CUT: f64 = 0.75;
@@ -62,8 +69,15 @@
 const BACK: f64 = 0.2;
 const BEYOND: f64 = 0.1;
 
-/// So many seconds' worth may be written ahead.
-const AHEAD: f64 = 2.0;
+/// What new jobs write while nothing is refused is counted as written ahead no further than this,
+/// in seconds: else they would keep the others to their floors for long.
+const AHEAD: f64 = 1.0;
+
+/// A class's own changes are saved up to this; one at least, however small the share is.
+fn saved(class: Class, most: f64) -> f64 {
+    let i = class as usize;
+    (most * FLOOR[i] * SAVED_S[i]).max(if FLOOR[i] > 0.0 { 1.0 } else { 0.0 })
+}
 
 #[derive(Debug)]
 pub struct Budget {
@@ -79,6 +93,9 @@
     spent: [u64; 7],
     /// The service is over its limit until about then.
     tight_until: Now,
+    tight_ms: u64,
+    /// What is over has waited for long until about then.
+    behind_until: Now,
     cut_at: Now,
     /// Something found no room since the rate was last raised.
     wanted: bool,
@@ -98,11 +115,14 @@
             at: now,
             spent: [0; 7],
             tight_until: 0,
+            tight_ms: 0,
+            behind_until: 0,
             cut_at: 0,
             wanted: false,
             refusals: 0,
         };
         b.rate = b.fair();
+        b.own = CLASSES.map(|c| saved(c, b.most()));
         b
     }
 
@@ -126,7 +146,7 @@
     pub fn refill(&mut self, now: Now) {
         let s = now.saturating_sub(self.at) as f64 / 1000.0;
         self.at = now;
-        if !self.tight() {
+        if self.at >= self.cut_at {
             let fair = self.fair();
             if self.rate < fair {
                 self.rate = (self.rate + fair * BACK * s).min(fair);
@@ -140,16 +160,19 @@
         self.wanted = false;
         let came = self.rate * s;
         let most = self.most().max(self.rate);
+        let promised = self.fair().max(self.rate) * s;
         let mut common = came;
-        for (own, floor) in self.own.iter_mut().zip(FLOOR) {
-            *own += came * floor;
-            common -= came * floor;
-            // Saved up for a second, and for one change at least, however small the share is.
-            let over = (*own - (most * floor).max(1.0)).max(0.0);
-            *own -= over;
+        for c in CLASSES {
+            let i = c as usize;
+            // What is over comes first, too, when the service takes less than it promised.
+            let of = if c == Class::Final { promised } else { came };
+            self.own[i] += of * FLOOR[i];
+            common -= of * FLOOR[i];
+            let over = (self.own[i] - saved(c, most)).max(0.0);
+            self.own[i] -= over;
             common += over;
         }
-        self.common = (self.common + common).min(most);
+        self.common = (self.common + common).clamp(-AHEAD * most, most);
     }
 
     /// The service refused something lately.
@@ -157,6 +180,12 @@
         self.at < self.tight_until
     }
 
+    /// What is over waits to be told: until that is better, no more new jobs come in than there is
+    /// room for.
+    pub fn behind(&mut self, now: Now) {
+        self.behind_until = now + BEHIND_MS;
+    }
+
     /// How many changes of this class may be written now. Asked by who has something to write.
     pub fn room(&mut self, class: Class) -> usize {
         let i = class as usize;
@@ -165,11 +194,9 @@
             Class::Seats | Class::Answer => return usize::MAX,
             // Others may use less than their share: (found by a full score) to go by the own share
             // alone refused one submission in eight to a service that had room.
-            Class::Acceptance if !self.tight() => return usize::MAX,
-            // Written ahead for two seconds, then refused early rather than late.
-            Class::Acceptance => self.common + AHEAD * self.most(),
-            // After many machines died at once, their work is decided ahead of what comes, too.
-            Class::Decision if !self.tight() => self.common + AHEAD * self.most(),
+            Class::Acceptance if !self.tight() && self.at >= self.behind_until => {
+                return usize::MAX;
+            }
             _ => self.common - RESERVE[i] * self.most(),
         };
         let left = (own + common.max(0.0)) as usize;
@@ -180,11 +207,15 @@
     /// The service has refused to write, or did not answer.
     pub fn refused(&mut self, now: Now) {
         self.refusals += 1;
-        self.tight_until = now + TIGHT_MS;
         if now >= self.cut_at {
+            // (Found by the simulator, at a store that took two thirds of what came: new jobs came
+            // in freely between two refusals, and nothing that was over was told.)
+            let again = self.tight_ms > 0 && now < self.tight_until + TIGHT_AGAIN_MS;
+            self.tight_ms = if again { (self.tight_ms * 2).min(TIGHT_MOST_MS) } else { TIGHT_MS };
             self.cut_at = now + CUT_GAP_MS;
             self.rate = (self.rate * CUT).max(self.fair() * LEAST);
         }
+        self.tight_until = self.tight_until.max(now + self.tight_ms);
     }
 
     /// Counts what is written, whether there was room for it or not.
@@ -194,8 +225,7 @@
         let n = n as f64;
         let own = n.min(self.own[i].max(0.0));
         self.own[i] -= own;
-        // No further below than what a burst of new jobs may write ahead, and as much again.
-        self.common = (self.common - (n - own)).max(-3.0 * self.most());
+        self.common = (self.common - (n - own)).max(-AHEAD * self.most());
     }
 
     /// Changes of this class so far.
@@ -215,7 +245,7 @@
 
     /// After how many seconds there will be room for an acceptance again.
     pub fn acceptance_after_s(&self) -> u32 {
-        let lacking = (1.0 - self.common - AHEAD * self.most()).max(0.0);
+        let lacking = (1.0 - self.common).max(0.0);
         let behind = lacking / self.rate.max(0.1);
         behind.ceil().clamp(1.0, 3.0) as u32
     }
@@ -249,7 +279,10 @@
                 let step = rng.random_range(20..120);
                 now += step;
                 b.refill(now);
-                came += b.rate() * step as f64 / 1000.0;
+                // All floors together, where that of finals does not go down with the rate.
+                let [_, _, f, d, a, o, _] = FLOOR;
+                let floors = f * b.rate().max(b.fair()) + (d + a + o) * b.rate();
+                came += b.rate().max(floors) * step as f64 / 1000.0;
                 lowest = if now < from { f64::MAX } else { b.rate().min(lowest) };
                 assert!(b.rate() >= limit / 3.0 * USED * LEAST - 1e-9 && b.rate() <= limit * USED);
                 if refuses && rng.random_bool(0.05) {
@@ -274,7 +307,7 @@
                 }
             }
             let wrote: u64 = b.spent.iter().sum();
-            let free = limit / 3.0 * 3.0 + b.spent(Class::Acceptance) as f64;
+            let free = limit / 3.0 * 5.0 + b.spent(Class::Acceptance) as f64;
             assert!(wrote as f64 <= came + free, "seed {seed}: {wrote} of {came}");
             let got = (b.spent(greedy) - before[greedy as usize]) as f64;
             let due = FLOOR[greedy as usize] * lowest * (to - from) as f64 / 1000.0;
@@ -335,6 +368,15 @@
         assert_eq!(b.room(Class::Acceptance), usize::MAX);
     }
 
+    #[test]
+    fn new_jobs_keep_to_their_room_while_what_is_over_waits() {
+        let mut b = Budget::new(120.0, 3, 0);
+        b.behind(0);
+        assert!(b.room(Class::Acceptance) < 60);
+        b.refill(BEHIND_MS);
+        assert_eq!(b.room(Class::Acceptance), usize::MAX);
+    }
+
     #[test]
     fn who_owns_all_seats_has_all_of_the_limit() {
         let mut b = Budget::new(120.0, 3, 0);
--- a/crates/core/src/coordinator/finish.rs
+++ b/crates/core/src/coordinator/finish.rs
@@ -15,6 +15,8 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+/// Users expect to be told within 3 s.
+const BEHIND_MS: u64 = 3000;
 /// Between two transactions with final states, and with what is done.
 const FINALS_MS: u64 = 300;
 const CHUNKS_MS: u64 = 1200;
@@ -92,6 +94,7 @@
                 // What it had done counts no more; its machines may forget it.
                 let acks = std::mem::take(&mut j.unfolded);
                 j.placed.stop_all();
+                self.unsettled.insert(id);
                 let s = j.state();
                 let empty = j.placed.is_empty();
                 for r in std::mem::take(&mut j.cancel_reqs) {
@@ -183,6 +186,9 @@
         let most = ctx.cfg.txn_ops.min(ctx.budget.room(Class::Final));
         let mut over: Vec<(Now, JobId)> = self.over.iter().map(|(id, at)| (*at, *id)).collect();
         over.sort_unstable();
+        if over.first().is_some_and(|o| ctx.now >= o.0 + BEHIND_MS) {
+            ctx.budget.behind(ctx.now);
+        }
         for (_, id) in over {
             let c = self.final_changes(id, Status::Done);
             // The largest job has more chunks than the smallest store takes changes at once: alone
--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -63,6 +63,8 @@
                 }
                 self.take_decisions(ctx);
                 let done = self.jobs.values().filter(|j| j.complete() && !j.cancelled);
+                let placed = self.jobs.values().filter(|j| !j.placed.is_empty());
+                self.unsettled = placed.map(|j| j.id).collect();
                 self.over = done.map(|j| (j.id, ctx.now)).collect();
                 ctx.wake = true;
                 let (s, n) = (self.seat.0, self.jobs.len());
--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -10,7 +10,7 @@
     AttemptRef, Lack, Offer, Phase, Pick, SeatMsg, Shape as WireShape, TaskEvent,
 };
 use leaddeal_wire::state::Change;
-use leaddeal_wire::user::{Kind, Status};
+use leaddeal_wire::user::{Kind, Priority, Status};
 use leaddeal_wire::worker::{TaskState, Why};
 use rounds::{Record as Slot, Rounds};
 use std::cmp::Reverse;
@@ -28,10 +28,15 @@
 const ITEMS: usize = 14;
 /// A request names at most this many kinds of GPU work.
 const GPU_KINDS: usize = 16;
+/// Which are gathered this often.
+const GPU_WORK_MS: u64 = 500;
 /// The buyer is told of so many jobs without a place, the most important ones.
 const LACKS: usize = 60;
 const RESEND_MS: u64 = 2000;
 
+/// Processors, GPUs and memory of a task, and its priority.
+type GpuWork = (u64, u64, u64, Priority);
+
 /// What a part is told yes to, for a job: its shape and the picks.
 type Yes = (Arc<WireShape>, Vec<Pick>);
 
@@ -106,6 +111,11 @@
     over: BTreeMap<JobId, Now>,
     /// Jobs of which something is done that is not in the store.
     dirty: BTreeSet<JobId>,
+    /// Jobs with a task that was not seen on its machine yet, or is to stop; who has none any more
+    /// is taken out when looked at.
+    unsettled: BTreeSet<JobId>,
+    /// GPU work there is, and when to look anew.
+    gpu_work: (Now, Vec<GpuWork>),
     /// Cancellations being written.
     cancelling: BTreeSet<JobId>,
     fold: Option<Fold>,
@@ -144,6 +154,8 @@
             pending: BTreeSet::new(),
             over: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            unsettled: BTreeSet::new(),
+            gpu_work: (0, Vec::new()),
             cancelling: BTreeSet::new(),
             fold: None,
             finals_after: 0,
@@ -207,8 +219,12 @@
             }
             SeatMsg::AskDecision { negotiation } => self.answer_decision(ctx, from, negotiation),
             SeatMsg::Room { priority } => {
-                for j in self.jobs.values_mut().filter(|j| j.wire.priority >= priority) {
-                    j.room_somewhere(ctx.now);
+                // Whose tasks all have their places asks for nothing.
+                for id in &self.pending {
+                    let j = self.jobs.get_mut(id).filter(|j| j.wire.priority >= priority);
+                    if let Some(j) = j {
+                        j.room_somewhere(ctx.now);
+                    }
                 }
                 ctx.wake = true;
             }
@@ -272,6 +288,7 @@
             if e.phase == Phase::On(TaskState::Saving) && j.wire.kind == Kind::Gang {
                 let grace = j.wire.save_s + 2.0;
                 j.placed.stop_rest(grace);
+                self.unsettled.insert(id);
                 self.next_resend = now;
                 self.resend(ctx);
             }
@@ -306,6 +323,7 @@
         if j.wire.kind == Kind::Gang {
             // Won whole or not at all: the rest of the attempt stops.
             j.placed.stop_rest(0.0);
+            self.unsettled.insert(id);
             self.next_resend = now;
         }
         let empty_leftover = j.cancelled && j.placed.is_empty();
@@ -331,9 +349,19 @@
             fresh.push(e != self.part_epochs[s.0 as usize]);
             self.part_epochs[s.0 as usize] = e;
         }
-        for j in self.jobs.values_mut() {
+        // A new owner of a part knows nothing of what is on its machines. (All placements were
+        // gone through twice a second.)
+        if fresh.contains(&true) {
+            self.unsettled
+                .extend(self.jobs.values().filter(|j| !j.placed.is_empty()).map(|j| j.id));
+        }
+        let jobs = &mut self.jobs;
+        self.unsettled.retain(|id| {
+            let Some(j) = jobs.get_mut(id) else { return false };
             let id = j.id;
+            let mut open = false;
             for (task, p) in j.placed.iter_mut() {
+                open |= p.stop.is_some() || p.phase == Phase::Decided || j.cancelled;
                 let seat = p.part;
                 let renew = fresh[seat.0 as usize];
                 let attempt = p.attempt.0;
@@ -369,7 +397,8 @@
                     });
                 }
             }
-        }
+            open
+        });
         for ((seat, job, adopt), (shape, picks)) in yes {
             for c in picks.chunks(200) {
                 let picks = c.to_vec();
--- a/crates/core/src/coordinator/round.rs
+++ b/crates/core/src/coordinator/round.rs
@@ -1,5 +1,7 @@
 //! A round: ask all parts for offers, write the choice under the epoch, then say yes and no.
-use super::{Choice, Coordinator, Talk, Writing, Yes, GPU_KINDS, ITEMS, OFFERS_MS};
+use super::{
+    Choice, Coordinator, GpuWork, Talk, Writing, Yes, GPU_KINDS, GPU_WORK_MS, ITEMS, OFFERS_MS,
+};
 use crate::budget::Class;
 use crate::ctx::{Ctx, OpKind};
 use crate::ids::{Attempt, JobId, Negotiation, Now, Seat, ZoneIdx};
@@ -98,7 +100,7 @@
         }
         self.next_talk += 1;
         let id = Negotiation((self.epoch.0 << 24) | self.next_talk);
-        let gpu_work = self.gpu_work();
+        let gpu_work = self.gpu_work(ctx.now);
         // A seat known to be vacant is not waited for.
         let asked: Vec<Seat> = ctx.seats().filter(|s| ctx.reachable(*s)).collect();
         for &s in &asked {
@@ -126,13 +128,18 @@
 
     /// The kinds of GPU work there are, so that parts keep services from spoiling its machines
     /// before it gets its turn to be asked for.
-    pub(super) fn gpu_work(&self) -> Vec<(u64, u64, u64, user::Priority)> {
+    fn gpu_work(&mut self, now: Now) -> Vec<GpuWork> {
+        if now < self.gpu_work.0 {
+            return self.gpu_work.1.clone();
+        }
         let live = self.jobs.values().filter(|j| !j.cancelled && j.shape.need.gpu > 0);
         let kinds = live.map(|j| {
             let n = j.shape.need;
             (n.cpu, n.gpu, n.mem, j.wire.priority)
         });
-        kinds.collect::<BTreeSet<_>>().into_iter().take(GPU_KINDS).collect()
+        let kinds = kinds.collect::<BTreeSet<_>>().into_iter().take(GPU_KINDS).collect();
+        self.gpu_work = (now + GPU_WORK_MS, kinds);
+        self.gpu_work.1.clone()
     }
 
     pub(super) fn check_talk(&mut self, ctx: &mut Ctx) {
@@ -353,6 +360,7 @@
                 continue;
             }
             j.placed.insert(c.task, p);
+            self.unsettled.insert(c.job);
             live += 1;
             let e = yes.entry((c.seat, c.job)).or_insert((j.shape.wire.clone(), Vec::new()));
             e.1.push(Pick {
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -1,5 +1,5 @@
 //! The rules of the protocol, checked after each step.
-use crate::worker::Worker;
+use crate::worker::{Done, Worker};
 use leaddeal_wire::settings::Team;
 use leaddeal_wire::user::{Job, JobState, Kind, Status};
 use leaddeal_wire::worker::TaskState;
@@ -99,7 +99,7 @@
         id: &str,
         status: u16,
         state: Option<&JobState>,
-        done: &BTreeSet<String>,
+        done: &Done,
     ) -> Result<(), String> {
         if status == 404 && self.accepted.contains(id) {
             return Err(format!("forgotten: {id}"));
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -13,6 +13,8 @@
     Freeze { node: usize, ms: u64 },
     /// Controllers refuse each other's connections.
     Apart { ms: u64 },
+    /// The state service refuses everything.
+    Outage { ms: u64 },
     /// The state service answers so much later.
     SlowStore { ms: u64, by_ms: u64 },
     /// Nothing gets out of a zone or into it; what was sent is held back.
@@ -28,6 +30,8 @@
     pub pages: u64,
     /// Calls of the state service other than watches.
     pub store_calls: u64,
+    /// Final states as they were written: when, and how long after the job's last task was done.
+    pub finals: Vec<(u64, u64)>,
 }
 
 impl Marks {
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -4,7 +4,7 @@
 use crate::script::{Fault, Marks};
 use crate::state::{Broken, State};
 use crate::tally::Tally;
-use crate::worker::Worker;
+use crate::worker::{Done, Worker};
 use leaddeal_core::ids::{seat_of_job, JobId};
 use leaddeal_core::io::{
     CloudCall, CloudResult, DirectOutcome, Input, Output, StoreCall, StoreResult, WorkerReply,
@@ -62,6 +62,8 @@
     /// Jobs that are in the store from the beginning: over, and open.
     pub closed: u64,
     pub open: u64,
+    /// Changes a second that the state service takes; none: any.
+    pub store: Option<f64>,
 }
 
 impl Plan {
@@ -79,6 +81,7 @@
             script: Vec::new(),
             closed: 0,
             open: 0,
+            store: None,
         }
     }
 
@@ -154,7 +157,7 @@
     next_req: u64,
     latest: HashMap<String, u64>,
     pub rules: Rules,
-    pub done: BTreeSet<String>,
+    pub done: Done,
     next_job: u64,
     /// Delivery times by link, to keep the order of a connection.
     links: HashMap<(usize, usize), u64>,
@@ -241,7 +244,7 @@
             next_req: 0,
             latest: HashMap::new(),
             rules: Rules::new(settings(0, plan.team_max).params.teams, 30_000),
-            done: BTreeSet::new(),
+            done: Done::default(),
             next_job: 0,
             links: HashMap::new(),
             plan,
@@ -252,6 +255,7 @@
             s.boot_machine(&name, kind, ZONES[i % 3], i % 4 == 3);
         }
         s.preload();
+        s.state.limit = s.plan.store;
         for n in 0..NODES {
             s.start(n);
         }
@@ -335,6 +339,28 @@
         !self.rules.cancel_asked.contains(task.split('/').next().unwrap_or_default())
     }
 
+    /// How long after its last task was done a job's final state was written.
+    fn note_finals(&mut self, t: &Txn) {
+        for c in &t.changes {
+            let Change::Put { key, value, .. } = c else { continue };
+            let Some(id) = keys::job_of_key(key).filter(|_| key.starts_with("f/")) else {
+                continue;
+            };
+            let job = leaddeal_wire::user::job_id(id.0);
+            if let (Some((Status::Done, _)), Some(at)) =
+                (keys::parse_final(value), self.done.last(&job))
+            {
+                self.marks.finals.push((self.now, self.now.saturating_sub(at)));
+            }
+        }
+    }
+
+    /// What the state service was asked for: changes taken, transactions refused, keys under a
+    /// prefix.
+    pub fn store(&self, prefix: &str) -> (u64, u64, usize) {
+        (self.state.changes, self.state.refused, self.state.count(prefix))
+    }
+
     fn scripted(&mut self, f: Fault) {
         match f {
             Fault::Crash { nodes, back_ms } => {
@@ -357,6 +383,7 @@
             }
             Fault::Freeze { node, ms } => self.stalled[node] = self.now + ms,
             Fault::Apart { ms } => self.apart_until = self.now + ms,
+            Fault::Outage { ms } => self.outage_until = self.now + ms,
             Fault::SlowStore { ms, by_ms } => self.slow_store = (self.now + ms, by_ms),
             Fault::CutZone { zone, ms } => self.zone_cut = (zone, self.now + ms),
         }
@@ -668,6 +695,9 @@
                 } else {
                     self.state.call(self.now, &call)
                 };
+                if let (StoreCall::Txn(t), StoreResult::Committed(_)) = (&call, &result) {
+                    self.note_finals(t);
+                }
                 // An answer that is lost: executed, but the node does not know.
                 if self.plan.faults && self.rng.random_range(0..60) == 0 {
                     result = StoreResult::Unknown;
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -24,6 +24,13 @@
     broken: Broken,
     /// Items a page: few, so that reading on is exercised.
     pub page: usize,
+    /// Changes a second that it takes, with bursts of a second's worth; none: any.
+    pub limit: Option<f64>,
+    tokens: f64,
+    at: u64,
+    /// Changes taken, and transactions refused for the limit.
+    pub changes: u64,
+    pub refused: u64,
 }
 
 impl State {
@@ -59,6 +66,11 @@
         }
     }
 
+    /// How many keys there are under a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.keys.range(prefix.to_string()..).take_while(|k| k.0.starts_with(prefix)).count()
+    }
+
     fn remove(&mut self, k: &str) {
         if self.keys.remove(k).is_some() {
             self.log.push(Event {
@@ -81,6 +93,21 @@
         Events { revision: self.revision, events }
     }
 
+    /// Whether so many changes are within the limit now.
+    fn takes(&mut self, now: u64, changes: usize) -> bool {
+        let Some(limit) = self.limit else { return true };
+        let came = now.saturating_sub(self.at) as f64 / 1000.0 * limit;
+        self.tokens = (self.tokens + came).min(limit);
+        self.at = now;
+        let within = self.tokens >= changes as f64;
+        if within {
+            self.tokens -= changes as f64;
+        } else {
+            self.refused += 1;
+        }
+        within
+    }
+
     /// Executes a call other than a watch.
     pub fn call(&mut self, now: u64, call: &StoreCall) -> StoreResult {
         self.expire(now);
@@ -102,6 +129,10 @@
                 StoreResult::Touched
             }
             StoreCall::Txn(t) => {
+                // Those whose conditions fail count as well.
+                if !self.takes(now, t.changes.len()) {
+                    return StoreResult::TooMany;
+                }
                 let failed: Vec<String> = t
                     .conds
                     .iter()
@@ -119,6 +150,7 @@
                     return StoreResult::NoLease;
                 }
                 self.revision += 1;
+                self.changes += t.changes.len() as u64;
                 for c in &t.changes {
                     match c {
                         Change::Put { key, .. }
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -1,7 +1,31 @@
 //! A stand-in for a machine's worker.
 use leaddeal_wire::user::{Job, Kind};
 use leaddeal_wire::worker::{Op, Order, Report, TaskId, TaskReport, TaskState, Why};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Tasks that completed, and when the last one of each job did.
+#[derive(Debug, Default)]
+pub struct Done {
+    tasks: BTreeSet<String>,
+    last: HashMap<String, u64>,
+}
+
+impl Done {
+    pub fn contains(&self, task: &str) -> bool {
+        self.tasks.contains(task)
+    }
+
+    pub fn insert(&mut self, task: &str, now: u64) {
+        if self.tasks.insert(task.to_string()) {
+            let job = task.split('/').next().unwrap_or_default();
+            self.last.insert(job.to_string(), now);
+        }
+    }
+
+    pub fn last(&self, job: &str) -> Option<u64> {
+        self.last.get(job).copied()
+    }
+}
 
 #[derive(Clone, Debug)]
 pub struct On {
@@ -94,7 +118,7 @@
     }
 
     /// Time passes: the lease, fetches and runs end.
-    pub fn advance(&mut self, now: u64, done: &mut BTreeSet<String>, jobs: &BTreeMap<String, Job>) {
+    pub fn advance(&mut self, now: u64, done: &mut Done, jobs: &BTreeMap<String, Job>) {
         if now < self.hang_until || self.gone {
             return;
         }
@@ -127,7 +151,7 @@
                 }
                 TaskState::Running => {
                     (t.state, t.why) = (TaskState::Exited, Some(Why::Done));
-                    done.insert(task.clone());
+                    done.insert(task, now);
                     self.changed = true;
                 }
                 TaskState::Saving => {
