--- a/crates/leaddeal/tests/processes.rs
+++ b/crates/leaddeal/tests/processes.rs
@@ -1,10 +1,10 @@
 //! Three real processes on loopback: the door, a worker, a kill.
 use common::{http, job, start, until};
-use leaddeal_testkit::worker::Worker;
+use leaddeal_testkit::worker::{Done, Worker};
 use leaddeal_wire::user::Job;
 use leaddeal_wire::worker::{Answer, Redirect};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 mod common;
@@ -16,7 +16,7 @@
         let now = || start.elapsed().as_millis() as u64;
         let jobs: BTreeMap<String, Job> = jobs.into_iter().map(|j| (j.id.clone(), j)).collect();
         let mut w = Worker::new("m-000001", "small", "a", false, 0, 8000);
-        let mut done = BTreeSet::new();
+        let mut done = Done::default();
         let mut at = 0;
         loop {
             w.advance(now(), &mut done, &jobs);
