--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -204,7 +204,7 @@
         left
     }
 
-    /// The service has refused to write, or did not answer.
+    /// The service has refused to write.
     pub fn refused(&mut self, now: Now) {
         self.refusals += 1;
         if now >= self.cut_at {
