--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -610,14 +610,15 @@
         let now = ctx.now;
         let Some(m) = self.machines.get_mut(&idx) else { return };
         let mut next = m.lease_over_at(ctx.cfg.worker_lease_ms);
+        let lease_over = !m.lapsed && !m.released && now > next;
         // Not while our own lease is in doubt: a newer owner may answer the worker by now, and its
         // lease goes on. (Found by the simulator, seed 186: a task ran twice.)
-        if !m.lapsed && !m.released && now > next && !ctx.valid {
+        if lease_over && !ctx.valid {
             m.due = now + 500;
             self.due.insert((m.due, idx));
             return;
         }
-        if !m.lapsed && !m.released && now > next {
+        if lease_over {
             m.lapsed = true;
             m.all_gone();
             let n = ctx.names.machine_name(idx).to_string();
