Quick restarts: beats tell all epochs known, links outlive a clock that stepped back

A controller in grace heard a sibling again that knew as little, while the owner of its seat stood still and then lost its own lease, so nobody told it of the newer epoch. Beats now tell the newest epoch known of every seat; a node that does not hear all siblings lets its workers go in time; a late answer of the store makes nobody owner of a seat with a newer one. Excluded: the late transactions alone (the rule broke by the grace). Also: all siblings knowing an epoch proves that older owners let go, so silent machines wait for their lease and not 45 s more; /up is yes when no sibling could do better; a port in use is asked for again; a hello by a clock that stepped back is told so and raised; a sibling's newer process ends the link to the older one at once.

--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -1,6 +1,7 @@
 //! What parts of the core need while they handle an input: the time, names, settings, who owns
 //! what, and ways to send, write, ask and answer. Below all parts, so that none needs the node.
 use crate::budget::{Budget, Class};
+use crate::health::lately;
 use crate::ids::{seat_of_job, seat_of_machine, Epoch, JobId, MachineIdx, NodeIdx, Now, Seat};
 use crate::io::{CloudCall, OpId, Out, Output, ReqId, StoreCall, UserReply};
 use crate::jobs::{Aims, Job};
@@ -15,14 +16,6 @@
 use serde_json::json;
 use std::collections::{HashMap, VecDeque};
 
-/// A sibling not heard of for this long is taken for unreachable.
-const SILENT_MS: u64 = 3000;
-
-/// Whether a sibling heard at that time is taken for reachable.
-pub(crate) fn lately(heard: Now, now: Now) -> bool {
-    now < heard + SILENT_MS
-}
-
 /// What the core needs of the settings.
 #[derive(Clone, Debug)]
 pub struct Config {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What is known of a machine: its worker's newest report, and the attempts on it.
 use crate::ids::{Attempt, Epoch, ImageIdx, JobId, Now, TypeIdx, ZoneIdx};
 use crate::names::{Room, Shape};
-use crate::seat::{at_least, GRACE_MS};
+use crate::seat::at_least;
 use leaddeal_wire::mesh::Phase;
 use leaddeal_wire::user::Priority;
 use leaddeal_wire::worker::{Op, Order, Report, TaskId, TaskState, Why};
@@ -155,8 +155,9 @@
     }
 
     /// The moment from which the worker's lease is surely over, unless it is renewed.
-    pub fn lease_over_at(&self, lease_ms: u64) -> Now {
-        let granted = if self.confirmed { self.granted } else { self.granted + at_least(GRACE_MS) };
+    /// Owners before us may have answered it until `older`.
+    pub fn lease_over_at(&self, lease_ms: u64, older: Now) -> Now {
+        let granted = if self.confirmed { self.granted } else { self.granted.max(older) };
         granted + at_least(lease_ms)
     }
 
@@ -453,9 +454,9 @@
         };
         let mut m = Machine::new(1000);
         assert!(m.apply(&report(1), Epoch(5), true, 2000));
-        let first = m.lease_over_at(8000);
+        let first = m.lease_over_at(8000, 0);
         assert!(m.apply(&report(2), Epoch(5), false, first - 10));
-        assert!(m.lease_over_at(8000) >= first - 10 + 8000, "it may have begun just now");
+        assert!(m.lease_over_at(8000, 0) >= first - 10 + 8000, "it may have begun just now");
     }
 
     /// Guards a cancelled job's task against an owner whose lease is in doubt.
--- /dev/null
+++ b/crates/core/src/health.rs
@@ -0,0 +1,121 @@
+//! What is known of the siblings: evidence, by kind, and what it proves.
+//!
+//! Invariants:
+//! - evidence is only ever what a sibling itself said or did, with the time it reached us;
+//! - what a word proves, it proves for good: an epoch that a sibling knows it will not forget, so
+//!   that it acts for that seat under no older one again;
+//! - silence proves nothing. A sibling that is not heard may act on for its whole grace.
+use crate::ids::{Epoch, NodeIdx, Now, Seat};
+use leaddeal_wire::mesh::Beat;
+
+/// A sibling not heard of for this long is taken for unreachable.
+const SILENT_MS: u64 = 3000;
+
+/// Whether a sibling heard at that time is taken for reachable.
+pub(crate) fn lately(heard: Now, now: Now) -> bool {
+    now < heard + SILENT_MS
+}
+
+/// What a sibling said last.
+#[derive(Clone, Debug, Default)]
+struct Word {
+    /// The newest epoch it knows of, by seat.
+    knows: Vec<Epoch>,
+    ready: bool,
+}
+
+/// The siblings, as this node knows them; its own place stays empty.
+#[derive(Debug)]
+pub struct Health {
+    me: NodeIdx,
+    heard: Vec<Now>,
+    words: Vec<Word>,
+}
+
+impl Health {
+    /// So many nodes, with as many seats.
+    pub fn new(me: NodeIdx, nodes: usize) -> Health {
+        let word = Word { knows: vec![Epoch(0); nodes], ready: false };
+        Health { me, heard: vec![0; nodes], words: vec![word; nodes] }
+    }
+
+    /// Something came from a sibling.
+    pub fn hear(&mut self, node: NodeIdx, now: Now) {
+        if let Some(h) = self.heard.get_mut(node.0 as usize) {
+            *h = now;
+        }
+    }
+
+    /// Its beat. Epochs never go back, whatever order beats come in.
+    pub fn beat(&mut self, node: NodeIdx, b: &Beat) {
+        let Some(w) = self.words.get_mut(node.0 as usize) else { return };
+        w.ready = b.ready;
+        for &(seat, _, epoch) in &b.known {
+            if let Some(k) = w.knows.get_mut(seat as usize) {
+                *k = (*k).max(Epoch(epoch));
+            }
+        }
+    }
+
+    pub fn heard(&self) -> &[Now] {
+        &self.heard
+    }
+
+    fn siblings(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.heard.len()).filter(|&i| i != self.me.0 as usize)
+    }
+
+    /// Every sibling is heard.
+    pub fn hears_all(&self, now: Now) -> bool {
+        self.siblings().all(|i| lately(self.heard[i], now))
+    }
+
+    /// A sibling is heard that takes users' requests.
+    pub fn another_serves(&self, now: Now) -> bool {
+        self.siblings().any(|i| lately(self.heard[i], now) && self.words[i].ready)
+    }
+
+    /// Every sibling has said that it knows this epoch of the seat, or a newer one: whatever they,
+    /// and the processes before them, granted under older ones, they granted before now.
+    pub fn all_know(&self, seat: Seat, epoch: Epoch) -> bool {
+        let knows =
+            |i: usize| self.words[i].knows.get(seat.0 as usize).is_some_and(|k| *k >= epoch);
+        self.siblings().all(knows)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn beat(known: &[(u8, u8, u64)], ready: bool) -> Beat {
+        Beat { owned: Vec::new(), known: known.to_vec(), ready }
+    }
+
+    #[test]
+    fn only_the_word_of_every_sibling_proves_that_older_owners_let_go() {
+        let mut h = Health::new(NodeIdx(0), 3);
+        let (seat, epoch) = (Seat(1), Epoch(7));
+        h.beat(NodeIdx(1), &beat(&[(1, 0, 7)], true));
+        assert!(!h.all_know(seat, epoch), "the third said nothing");
+        h.beat(NodeIdx(2), &beat(&[(1, 2, 5), (0, 0, 9)], true));
+        assert!(!h.all_know(seat, epoch), "the third knows an older owner");
+        h.beat(NodeIdx(2), &beat(&[(1, 0, 7)], true));
+        assert!(h.all_know(seat, epoch));
+        // Held back, and out of its order: what was known is not forgotten.
+        h.beat(NodeIdx(2), &beat(&[(1, 2, 5)], true));
+        assert!(h.all_know(seat, epoch) && !h.all_know(seat, Epoch(8)));
+    }
+
+    #[test]
+    fn who_is_heard_and_ready_serves() {
+        let mut h = Health::new(NodeIdx(0), 3);
+        h.beat(NodeIdx(1), &beat(&[], true));
+        assert!(!h.another_serves(10_000) && !h.hears_all(10_000));
+        h.hear(NodeIdx(1), 9000);
+        assert!(h.another_serves(10_000) && !h.hears_all(10_000));
+        h.hear(NodeIdx(2), 9500);
+        assert!(h.hears_all(10_000));
+        assert!(!h.another_serves(12_100) && !h.hears_all(12_100));
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod coordinator;
 pub mod ctx;
 pub mod fleet;
+pub mod health;
 pub mod ids;
 pub mod io;
 pub mod jobs;
--- a/crates/core/src/node/finals.rs
+++ b/crates/core/src/node/finals.rs
@@ -30,7 +30,7 @@
             // What was cancelled just before it was last heard may have been told to another owner
             // of our machines, who did not come to act on it.
             let back = FINALS_BACK_MS + self.cfg.cancel_ms;
-            let since = self.heard[owner.node.0 as usize].saturating_sub(back);
+            let since = self.health.heard()[owner.node.0 as usize].saturating_sub(back);
             let mark = || self.marks.iter().rev().find(|m| m.0 <= since).map_or(0, |m| m.1);
             let feed = self.finals[i]
                 .get_or_insert_with(|| Feed::since(keys::final_prefix(seat), mark(), WAIT_MS));
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -3,6 +3,7 @@
 use crate::buyer::Buyer;
 use crate::coordinator::Coordinator;
 use crate::ctx::{Ask, Config, Ctx, OpKind, Ops};
+use crate::health::Health;
 use crate::ids::{Epoch, JobId, NodeIdx, Now, Seat, BUYER_SEAT};
 use crate::io::{CloudCall, CloudResult, Input, Out, Output, ReqId, StoreResult};
 use crate::jobs::Aims;
@@ -20,6 +21,8 @@
 /// Requests under way beyond this are refused at once.
 const MOST_CALLS: usize = 300;
 const TICK_SLOW_MS: u64 = 1000;
+/// A new process listens to its siblings for so long before it takes itself for the best there is.
+const LISTEN_MS: u64 = 1500;
 /// The operators' figures are logged this often.
 const FIGURES_MS: u64 = 60_000;
 /// What a worker takes to find another node, and its commands to take effect.
@@ -44,7 +47,7 @@
             budget: &mut $n.budget,
             me: $n.me,
             view: &$n.view,
-            heard: &$n.heard,
+            heard: $n.health.heard(),
             ops: &mut $n.ops,
             sends: &mut $n.sends,
             relays: &mut $n.relays,
@@ -91,7 +94,7 @@
     view_known: bool,
     seats_at: Now,
     seats_busy: bool,
-    heard: Vec<Now>,
+    health: Health,
     state_ok_at: Now,
     owned: Vec<Option<Owned>>,
     buyer: Option<(Epoch, Buyer)>,
@@ -147,7 +150,7 @@
             view_known: false,
             seats_at: now,
             seats_busy: false,
-            heard: vec![0; n],
+            health: Health::new(NodeIdx(me as u8), n),
             state_ok_at: now,
             owned: (0..n).map(|_| None).collect(),
             buyer: None,
@@ -170,11 +173,19 @@
         }
     }
 
-    /// Whether this node can take requests now.
-    pub fn healthy(&self, now: Now) -> bool {
+    /// Whether this node can do what users ask for.
+    fn ready(&self, now: Now) -> bool {
         !self.names.catalog.is_empty() && self.view_known && now < self.state_ok_at + 60_000
     }
 
+    /// Whether users should come here: also while this node can only refuse, if no sibling could
+    /// do better, since a refusal with `Retry-After` is better than nobody to talk to. (Found on
+    /// days of our own: after a crash of all in an outage users met no controller until its end.)
+    pub fn healthy(&self, now: Now) -> bool {
+        let alone = now >= self.started + LISTEN_MS && !self.health.another_serves(now);
+        self.ready(now) || alone
+    }
+
     pub fn owned_seats(&self) -> Vec<(Seat, Epoch)> {
         self.owned
             .iter()
@@ -405,14 +416,7 @@
         if self.marks.len() > MARKS + self.cfg.cancel_ms as usize / 1000 {
             self.marks.pop_front();
         }
-        // Told though our lease may be in doubt: an older owner's time is over all the same.
-        let owned: Vec<(u8, u64)> = self.owned_seats().iter().map(|(s, e)| (s.0, e.0)).collect();
-        for (i, n) in self.nodes.iter().enumerate() {
-            if i != self.me.0 as usize {
-                let msg = NodeMsg::Beat { owned: owned.clone() };
-                out.list.push(Output::Mesh { to: n.clone(), msg });
-            }
-        }
+        self.beat(out);
         // At home again and ready: ask for the own seat.
         let me = self.me.0 as usize;
         if let Some(o) = self.view[me].owner {
--- a/crates/core/src/node/seats.rs
+++ b/crates/core/src/node/seats.rs
@@ -3,7 +3,8 @@
 use crate::budget::Class;
 use crate::buyer::Buyer;
 use crate::coordinator::Coordinator;
-use crate::ctx::{lately, Ctx, OpKind};
+use crate::ctx::{Ctx, OpKind};
+use crate::health::lately;
 use crate::ids::{Epoch, NodeIdx, Seat, BUYER_SEAT};
 use crate::io::{Out, StoreCall};
 use crate::keys;
@@ -17,13 +18,16 @@
     pub(super) fn own(&mut self, out: &mut Out, seat: Seat, epoch: Epoch) {
         let now = out.now;
         let i = seat.0 as usize;
-        if self.owned[i].as_ref().is_some_and(|o| o.epoch >= epoch) {
+        // The second: an answer of the store that comes late, when a newer owner is known.
+        if self.owned[i].as_ref().is_some_and(|o| o.epoch >= epoch)
+            || self.view[i].owner.is_some_and(|o| o.epoch > epoch)
+        {
             return;
         }
         self.drop_seat(out, seat);
         let n = self.view.len();
         out.log(1, "seat_acquired", || format!("seat={} epoch={}", seat.0, epoch.0));
-        self.view[i].owner = Some(Owner { node: self.me, boot: self.boot, epoch });
+        self.view[i].own(Owner { node: self.me, boot: self.boot, epoch });
         self.owned[i] = Some(Owned {
             epoch,
             coordinator: Coordinator::new(seat, epoch, n),
@@ -106,7 +110,7 @@
         if self.view[i].owner.is_some_and(|o| o.epoch > epoch) {
             return;
         }
-        self.view[i].owner = Some(owner);
+        self.view[i].own(owner);
         let mine = owner.node == self.me && boot == self.boot;
         if mine && self.lease.valid(now) {
             self.own(out, seat, epoch);
@@ -158,7 +162,7 @@
             let take = match v.owner {
                 None => {
                     let home = i == self.me.0 as usize;
-                    let alive = |k: usize| lately(self.heard[k], now);
+                    let alive = |k: usize| lately(self.health.heard()[k], now);
                     // Home takes its own seat at once; others in order of distance, and only
                     // later if home is alive.
                     let wait = if home {
--- a/crates/core/src/node/siblings.rs
+++ b/crates/core/src/node/siblings.rs
@@ -4,31 +4,59 @@
 use crate::ids::{seat_of_job, Epoch, JobId, NodeIdx, Seat};
 use crate::io::{Out, Output};
 use crate::seat::Owner;
-use leaddeal_wire::mesh::{NodeMsg, Told};
+use leaddeal_wire::mesh::{Beat, NodeMsg, Told};
 
 impl Node {
+    /// Tells all siblings what is owned here and what is known of the rest. Also while our lease
+    /// may be in doubt: an older owner's time is over all the same.
+    pub(super) fn beat(&mut self, out: &mut Out) {
+        let owned = self.owned_seats().iter().map(|(s, e)| (s.0, e.0)).collect();
+        let known = self.view.iter().enumerate().filter_map(|(i, v)| Some((i as u8, v.last?)));
+        let known = known.map(|(i, o)| (i, o.node.0, o.epoch.0)).collect();
+        let beat = Beat { owned, known, ready: self.ready(out.now) };
+        for (i, n) in self.nodes.iter().enumerate() {
+            if i != self.me.0 as usize {
+                let msg = NodeMsg::Beat(beat.clone());
+                out.list.push(Output::Mesh { to: n.clone(), msg });
+            }
+        }
+    }
+
+    /// A node that does not reach the state service still learns that its time is over, from the
+    /// new owner or from whoever knows it, and sends the workers there. (Found by the simulator,
+    /// seed 1498: the new owner stood still and then lost its lease, so it owned nothing to tell
+    /// of; the one before it went on answering workers with tasks that were cancelled meanwhile.)
+    fn heard_beat(&mut self, out: &mut Out, from: NodeIdx, b: &Beat) {
+        let owned = b.owned.iter().map(|&(seat, epoch)| (seat, from.0, epoch));
+        for (seat, node, epoch) in owned.chain(b.known.iter().copied()) {
+            let (seat, node) = (Seat(seat), NodeIdx(node));
+            let known = (node.0 as usize) < self.nodes.len();
+            let Some(v) = self.view.get_mut(seat.0 as usize).filter(|_| known) else { continue };
+            // Of our own former epochs we know, and of our present ones.
+            if node != self.me && v.claimed(Owner { node, boot: 0, epoch: Epoch(epoch) }) {
+                if self.owned[seat.0 as usize].is_some() {
+                    self.drop_seat(out, seat);
+                }
+                self.spread_view();
+            }
+        }
+        self.health.beat(from, b);
+        for o in self.owned.iter_mut().flatten() {
+            if self.health.all_know(o.part.seat, o.epoch) {
+                o.part.older_let_go(out.now);
+            }
+        }
+    }
+
     pub(super) fn mesh(&mut self, out: &mut Out, from: &str, msg: NodeMsg) {
         let now = out.now;
         let Some(n) = self.nodes.iter().position(|x| x == from) else {
             return;
         };
-        self.heard[n] = now;
+        let node = NodeIdx(n as u8);
+        self.health.hear(node, now);
         match msg {
-            NodeMsg::Beat { owned } => {
-                // A node that does not reach the state service still learns that its time is
-                // over, and sends the workers to their new owner.
-                for (seat, epoch) in owned {
-                    let seat = Seat(seat);
-                    let Some(v) = self.view.get_mut(seat.0 as usize) else { continue };
-                    let node = NodeIdx(n as u8);
-                    if v.claimed(Owner { node, boot: 0, epoch: Epoch(epoch) }) {
-                        if self.owned[seat.0 as usize].is_some() {
-                            self.drop_seat(out, seat);
-                        }
-                        self.spread_view();
-                    }
-                }
-            }
+            NodeMsg::Beat(b) => self.heard_beat(out, node, &b),
             NodeMsg::Seat { from, from_epoch, to, to_epoch, msg } => {
                 let len = self.view.len();
                 if from as usize >= len || to as usize >= len {
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -1,20 +1,21 @@
 //! Workers: who may be answered, and what.
 use super::{Node, LET_GO_MS};
-use crate::ctx::{lately, Ctx};
+use crate::ctx::Ctx;
 use crate::ids::{seat_of_machine, Now};
 use crate::io::{DirectOutcome, Out, Output, ReqId, WorkerReply};
 use crate::seat::at_most;
 use leaddeal_wire::worker::Report;
 
 impl Node {
-    /// Whether workers may be answered. Who hears neither the store nor a sibling can't learn what
-    /// was cancelled: it lets its workers go in time for whoever owns its seats by then. (Found
-    /// by the simulator: workers stayed with such a node for its whole grace.)
+    /// Whether workers may be answered. Who hears neither the store nor all siblings can't learn
+    /// what was cancelled: it lets its workers go in time for whoever owns its seats by then. (Found
+    /// by the simulator: workers stayed with a node that heard nobody for its whole grace; and, seed
+    /// 1498, with one that heard a sibling again which knew as little, while the third had cancelled
+    /// a job and could not be heard.)
     pub(super) fn may_answer(&self, now: Now) -> bool {
-        let silent = |(i, &h): (usize, &Now)| i == self.me.0 as usize || !lately(h, now);
-        let alone = self.nodes.len() > 1 && self.heard.iter().enumerate().all(silent);
+        let uninformed = !self.health.hears_all(now);
         let in_time = self.cfg.cancel_ms.saturating_sub(LET_GO_MS);
-        self.lease.in_grace(now) && !(alone && now >= self.lease.renewed + at_most(in_time))
+        self.lease.in_grace(now) && !(uninformed && now >= self.lease.renewed + at_most(in_time))
     }
 
     pub(super) fn report(&mut self, out: &mut Out, req: ReqId, r: &Report) {
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -5,7 +5,7 @@
     seat_of_job, Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, BUYER_SEAT,
 };
 use crate::names::{Names, Room, Shape};
-use crate::seat::at_least;
+use crate::seat::{at_least, GRACE_MS};
 use leaddeal_wire::mesh::{AttemptRef, Phase, Pick, SeatMsg, TaskEvent};
 use leaddeal_wire::user::Priority;
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
@@ -54,6 +54,8 @@
     pub seat: Seat,
     pub epoch: Epoch,
     pub since: Now,
+    /// Owners before us may have answered workers until then, not later.
+    older_until: Now,
     pub machines: BTreeMap<MachineIdx, Machine>,
     /// Machines up to this name are the operator's own.
     pub base: Option<String>,
@@ -124,6 +126,7 @@
             seat,
             epoch,
             since: now,
+            older_until: now + at_least(GRACE_MS),
             machines: BTreeMap::new(),
             base: None,
             due: BTreeSet::new(),
@@ -158,6 +161,21 @@
         })
     }
 
+    /// All siblings know our epoch: owners before us grant nothing any more. A machine that stays
+    /// silent is waited for no longer than its worker's own lease. (Found on the bench: after a
+    /// crash of all, hung machines' work was placed anew only 71 s later.)
+    pub fn older_let_go(&mut self, now: Now) {
+        if now >= self.older_until {
+            return;
+        }
+        self.older_until = now;
+        // Each looks again by itself.
+        let silent = self.machines.iter().filter(|(_, m)| !m.confirmed);
+        for idx in silent.map(|(&idx, _)| idx).collect::<Vec<_>>() {
+            self.look_at(idx, now);
+        }
+    }
+
     /// Looks at the machine at that time, if not earlier.
     fn look_at(&mut self, idx: MachineIdx, at: Now) {
         if let Some(m) = self.machines.get_mut(&idx).filter(|m| at < m.due) {
@@ -217,6 +235,7 @@
         let epoch = self.epoch;
         let kind = ctx.names.type_idx(&r.type_name);
         let zone = ctx.names.zone(&r.zone);
+        let older = self.older_until;
         let m = self.machine(idx);
         m.kind = kind;
         m.zone = zone;
@@ -277,7 +296,7 @@
             }
             m.recount();
         }
-        let over_at = m.lease_over_at(ctx.cfg.worker_lease_ms);
+        let over_at = m.lease_over_at(ctx.cfg.worker_lease_ms, older);
         self.stop_over(idx, now);
         self.look_at(idx, over_at);
         self.freed |= freed;
@@ -609,7 +628,7 @@
     fn due_look(&mut self, ctx: &mut Ctx, idx: MachineIdx) {
         let now = ctx.now;
         let Some(m) = self.machines.get_mut(&idx) else { return };
-        let mut next = m.lease_over_at(ctx.cfg.worker_lease_ms);
+        let mut next = m.lease_over_at(ctx.cfg.worker_lease_ms, self.older_until);
         let lease_over = !m.lapsed && !m.released && now > next;
         // Not while our own lease is in doubt: a newer owner may answer the worker by now, and its
         // lease goes on. (Found by the simulator, seed 186: a task ran twice.)
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SeatView {
     pub owner: Option<Owner>,
+    /// The newest owner there ever was, as far as is known: `owner`, or one whose time is over.
+    pub last: Option<Owner>,
     /// Whoever owned it at this revision or before owns it no more.
     pub vacated: u64,
     pub vacant_since: Now,
@@ -63,10 +65,18 @@
     pub fn claimed(&mut self, by: Owner) -> bool {
         let news = self.owner.is_none_or(|o| o.epoch < by.epoch) && by.epoch.0 > self.vacated;
         if news {
-            self.owner = Some(by);
+            self.own(by);
         }
         news
     }
+
+    /// The store says, or a sibling is believed, that this is the owner.
+    pub fn own(&mut self, by: Owner) {
+        self.owner = Some(by);
+        if self.last.is_none_or(|l| l.epoch < by.epoch) {
+            self.last = Some(by);
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -104,6 +114,7 @@
         v.vacate(9, 100);
         assert!(v.owner.is_none() && v.vacant_since == 100);
         assert!(!v.claimed(by(7)), "it does not know yet that its lease is over");
+        assert_eq!(v.last.map(|o| o.epoch), Some(Epoch(7)), "siblings that know less are told");
         v.vacate(9, 300);
         assert_eq!(v.vacant_since, 100, "counted from when it was first seen");
         assert!(v.claimed(by(12)));
--- a/crates/leaddeal/src/driver.rs
+++ b/crates/leaddeal/src/driver.rs
@@ -12,6 +12,8 @@
 use leaddeal_wire::{cloud, state};
 use serde::de::DeserializeOwned;
 use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::io::ErrorKind;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -24,6 +26,9 @@
 const CLOCK_FROM: u64 = 100 * 24 * 3_600_000;
 const TICK: Duration = Duration::from_millis(100);
 const EVENTS: usize = 1000;
+/// A port that is in use is asked for again this often, and for no longer than this.
+const BIND_AGAIN: Duration = Duration::from_millis(20);
+const BIND_LIMIT: Duration = Duration::from_secs(30);
 const CONNECT_LIMIT: Duration = Duration::from_millis(800);
 const STORE_LIMIT: Duration = Duration::from_millis(2000);
 const CLOUD_LIMIT: Duration = Duration::from_secs(8);
@@ -55,6 +60,20 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
+/// Takes the port, which the process before this one may hold for a moment longer: started again
+/// within a fraction of a second, a controller must not end because of that.
+async fn bind(addr: &str) -> std::io::Result<TcpListener> {
+    let until = Instant::now() + BIND_LIMIT;
+    loop {
+        match TcpListener::bind(addr).await {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                tokio::time::sleep(BIND_AGAIN).await;
+            }
+            other => return other,
+        }
+    }
+}
+
 /// All work is in tasks of the runtime, this loop too: a future outside of them, woken by tasks,
 /// costs a look at the sockets between each two of its turns.
 pub async fn run(s: Settings) -> std::io::Result<()> {
@@ -63,10 +82,11 @@
 
 async fn serve(s: Settings) -> std::io::Result<()> {
     let start = Instant::now();
-    let boot = wall_ms();
+    // Two processes of a node differ in it, even if they start within a millisecond.
+    let boot = (wall_ms() << 12) | (RandomState::new().build_hasher().finish() >> 52);
     let (tx, mut rx) = mpsc::channel(EVENTS);
-    let user_listener = TcpListener::bind(&s.listen).await?;
-    let peer_listener = TcpListener::bind(&s.peer_listen).await?;
+    let user_listener = bind(&s.listen).await?;
+    let peer_listener = bind(&s.peer_listen).await?;
     let healthy = Arc::new(AtomicBool::new(false));
     let door = Door {
         events: tx.clone(),
@@ -79,7 +99,10 @@
         n => n.saturating_sub(100).max(n / 2),
     };
     tokio::spawn(door::listen(user_listener, door, most));
-    tokio::spawn(link::listen(peer_listener, tx.clone(), s.nodes()));
+    let restarted: link::Restarted =
+        s.peers.iter().map(|p| (p.node.clone(), Arc::default())).collect();
+    tokio::spawn(link::listen(peer_listener, tx.clone(), restarted.clone()));
+    let number = link::Boot::new(boot);
     let mut world = World {
         events: tx.clone(),
         store: Client::new(&s.services.state, CONNECT_LIMIT),
@@ -90,7 +113,9 @@
             .peers
             .iter()
             .map(|p| {
-                (p.node.clone(), link::dial(s.node.clone(), p.addr.clone(), boot, link::PATIENCE))
+                let (me, addr, again) = (s.node.clone(), p.addr.clone(), &restarted[&p.node]);
+                let link = link::dial(me, addr, number.clone(), again.clone(), link::PATIENCE);
+                (p.node.clone(), link)
             })
             .collect(),
         replies: HashMap::new(),
--- a/crates/leaddeal/src/link.rs
+++ b/crates/leaddeal/src/link.rs
@@ -5,11 +5,12 @@
 use leaddeal_core::Input;
 use leaddeal_wire::mesh::{Hello, NodeMsg, MAX_FRAME};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, timeout};
 
 /// Messages waiting for a sibling; more are dropped, as on a lossy line.
@@ -21,6 +22,32 @@
 const READ_BUFFER: usize = 8 * 1024;
 /// For a sender without such a sign.
 pub const PATIENCE: Duration = Duration::from_secs(4);
+/// A sign that the other end reads.
+const READING: u8 = 1;
+/// Followed by a number: a process of this node with that number was heard before.
+const OUTDATED: u8 = 2;
+
+/// The number by which siblings tell this process from those before it, of which there is one at
+/// a time: the larger the newer. It begins with the time of day, which may be less than what the
+/// process before began with, when that ended a moment ago and the clock stepped back. Whoever
+/// listens then says so, and the number is raised. Only a live process hears that, so what an
+/// ended one left in the network stays outdated.
+#[derive(Clone)]
+pub struct Boot(Arc<AtomicU64>);
+
+impl Boot {
+    pub fn new(number: u64) -> Boot {
+        Boot(Arc::new(AtomicU64::new(number)))
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn raise_above(&self, heard: u64) {
+        self.0.fetch_max(heard.saturating_add(1), Ordering::Relaxed);
+    }
+}
 
 fn frame<T: serde::Serialize>(m: &T, into: &mut Vec<u8>) {
     let at = into.len();
@@ -47,7 +74,13 @@
 
 /// Sends to one sibling, reconnecting as needed: also when the other end has not shown for
 /// `patience` that it reads. Siblings send each other something every second.
-pub fn dial(node: String, addr: String, boot: u64, patience: Duration) -> mpsc::Sender<NodeMsg> {
+pub fn dial(
+    node: String,
+    addr: String,
+    boot: Boot,
+    restarted: Arc<Notify>,
+    patience: Duration,
+) -> mpsc::Sender<NodeMsg> {
     let (tx, mut rx) = mpsc::channel::<NodeMsg>(QUEUE);
     tokio::spawn(async move {
         let mut generation = 0;
@@ -66,15 +99,21 @@
             // crash behind a cut leaves nobody to reset it. (Found on a hunt: a sibling that came
             // back heard nothing for the rest of the day, so that cancelled tasks ran on.)
             let read_at = Arc::new(Mutex::new(Instant::now()));
-            let seen = read_at.clone();
+            let (seen, mine, again) = (read_at.clone(), boot.clone(), restarted.clone());
             let watch = tokio::spawn(async move {
-                let mut sign = [0; 64];
-                while matches!(back.read(&mut sign).await, Ok(n) if n > 0) {
+                while let Ok(sign) = back.read_u8().await {
                     *lock(&seen) = Instant::now();
+                    if sign == OUTDATED {
+                        if let Ok(heard) = back.read_u64().await {
+                            mine.raise_above(heard);
+                        }
+                        break;
+                    }
                 }
+                again.notify_one();
             });
             let mut buf = Vec::new();
-            frame(&Hello { node: node.clone(), boot, generation }, &mut buf);
+            frame(&Hello { node: node.clone(), boot: boot.get(), generation }, &mut buf);
             loop {
                 let wrote = timeout(WRITE_LIMIT, s.write_all(&buf)).await;
                 if !matches!(wrote, Ok(Ok(()))) || lock(&read_at).elapsed() > patience {
@@ -82,7 +121,13 @@
                     break;
                 }
                 buf.clear();
-                let Some(m) = rx.recv().await else { return };
+                // Its end is known sooner than by signs that do not come, if a newer process of
+                // that node says hello, or the connection is closed.
+                let m = tokio::select! {
+                    m = rx.recv() => m,
+                    () = restarted.notified() => break,
+                };
+                let Some(m) = m else { return };
                 frame(&m, &mut buf);
                 while buf.len() < 64 * 1024 {
                     match rx.try_recv() {
@@ -98,9 +143,12 @@
 }
 
 type Newest = Arc<Mutex<HashMap<String, (u64, u64)>>>;
+/// By sibling: its process is another one than before.
+pub type Restarted = HashMap<String, Arc<Notify>>;
 
-pub async fn listen(l: TcpListener, events: mpsc::Sender<Event>, nodes: Vec<String>) {
+pub async fn listen(l: TcpListener, events: mpsc::Sender<Event>, siblings: Restarted) {
     let newest: Newest = Arc::default();
+    let siblings = Arc::new(siblings);
     let open = Arc::new(());
     loop {
         let Ok((s, _)) = l.accept().await else {
@@ -110,16 +158,16 @@
         if Arc::strong_count(&open) > 40 {
             continue;
         }
-        let (events, newest, nodes, held) =
-            (events.clone(), newest.clone(), nodes.clone(), open.clone());
+        let (events, newest, siblings, held) =
+            (events.clone(), newest.clone(), siblings.clone(), open.clone());
         tokio::spawn(async move {
-            hear(s, events, newest, nodes).await;
+            hear(s, events, newest, &siblings).await;
             drop(held);
         });
     }
 }
 
-async fn hear(s: TcpStream, events: mpsc::Sender<Event>, newest: Newest, nodes: Vec<String>) {
+async fn hear(s: TcpStream, events: mpsc::Sender<Event>, newest: Newest, siblings: &Restarted) {
     // Several frames come at once, and each is read in two parts.
     let mut s = BufReader::with_capacity(READ_BUFFER, s);
     let mut buf = Vec::new();
@@ -129,23 +177,31 @@
     let Ok(hello) = ciborium::from_reader::<Hello, _>(&buf[..]) else {
         return;
     };
-    if !nodes.contains(&hello.node) {
-        return;
-    }
+    let Some(restarted) = siblings.get(&hello.node) else { return };
     let me = (hello.boot, hello.generation);
-    {
+    let known = {
         let mut n = lock(&newest);
         let e = n.entry(hello.node.clone()).or_insert(me);
-        if *e > me {
-            return;
+        let known = *e;
+        *e = known.max(me);
+        known
+    };
+    if known > me {
+        if known.0 > me.0 {
+            let mut word = vec![OUTDATED];
+            word.extend(known.0.to_be_bytes());
+            let _ = timeout(WRITE_LIMIT, s.write_all(&word)).await;
         }
-        *e = me;
+        return;
+    }
+    if known.0 < me.0 {
+        restarted.notify_one();
     }
     let mut signed = Instant::now();
     while read_frame(&mut s, &mut buf).await.is_some() {
         if signed.elapsed() >= SIGN_EVERY {
             signed = Instant::now();
-            if !matches!(timeout(WRITE_LIMIT, s.write_all(&[1])).await, Ok(Ok(()))) {
+            if !matches!(timeout(WRITE_LIMIT, s.write_all(&[READING])).await, Ok(Ok(()))) {
                 return;
             }
         }
@@ -166,6 +222,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use leaddeal_wire::mesh::Beat;
 
     /// A listener that swallows everything stands for a sibling that is gone unnoticed.
     #[tokio::test]
@@ -173,9 +230,10 @@
         let l = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = l.local_addr().expect("its address").to_string();
         let work = async {
-            let tx = dial("n-0".into(), addr, 1, Duration::from_millis(20));
+            let (boot, restarted) = (Boot::new(1), Arc::default());
+            let tx = dial("n-0".into(), addr, boot, restarted, Duration::from_millis(20));
             let feed = tokio::spawn(async move {
-                while tx.send(NodeMsg::Beat { owned: Vec::new() }).await.is_ok() {
+                while tx.send(NodeMsg::Beat(Beat::default())).await.is_ok() {
                     tokio::task::yield_now().await;
                 }
             });
@@ -198,4 +256,46 @@
         let hellos = hellos.expect("a second connection");
         assert!(hellos[1].generation > hellos[0].generation, "the newer one is listened to");
     }
+
+    /// A process started a moment after the one before it, with a clock that stepped back: it was
+    /// not listened to for as long as it ran.
+    #[tokio::test]
+    async fn a_process_whose_clock_stepped_back_is_listened_to() {
+        let l = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = l.local_addr().expect("its address").to_string();
+        let (events, mut heard) = mpsc::channel(10);
+        let restarted: Arc<Notify> = Arc::default();
+        tokio::spawn(listen(l, events, [("n-0".to_string(), restarted.clone())].into()));
+        let start = |boot| {
+            let (boot, none) = (Boot::new(boot), Arc::default());
+            dial("n-0".into(), addr.clone(), boot, none, PATIENCE)
+        };
+        let epoch_of = |e: Option<Event>| match e {
+            Some(Event::Input(Input::Mesh { msg, .. })) => match *msg {
+                NodeMsg::Beat(b) => b.owned[0].1,
+                _ => 0,
+            },
+            _ => 0,
+        };
+        let beat = |epoch| NodeMsg::Beat(Beat { owned: vec![(0, epoch)], ..Beat::default() });
+        let before = start(1000);
+        before.send(beat(1)).await.expect("a link");
+        assert_eq!(epoch_of(heard.recv().await), 1);
+        let after = start(990);
+        let first = async {
+            loop {
+                let _ = after.try_send(beat(2));
+                let next = timeout(Duration::from_millis(50), heard.recv()).await;
+                if next.is_ok_and(|e| epoch_of(e) == 2) {
+                    return;
+                }
+            }
+        };
+        timeout(Duration::from_secs(10), first).await.expect("it is heard");
+        timeout(Duration::from_secs(1), restarted.notified()).await.expect("it is another one");
+        // What the ended one left in the network says nothing any more.
+        let _ = before.send(beat(3)).await;
+        let late = timeout(Duration::from_millis(200), heard.recv()).await;
+        assert!(late.is_err() || late.is_ok_and(|e| epoch_of(e) == 2), "an outdated word");
+    }
 }
--- a/crates/leaddeal/tests/common/mod.rs
+++ b/crates/leaddeal/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::{Path as FilePath, PathBuf};
 use std::process::{Child, Command};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -135,6 +136,26 @@
 pub struct Cluster {
     /// Name, address and process of each node.
     pub nodes: Vec<(String, String, Option<Child>)>,
+    /// Their settings, in the same order.
+    files: Vec<PathBuf>,
+}
+
+fn run(file: &FilePath) -> Child {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_leaddeal"));
+    program.arg("--config").arg(file).spawn().expect("the program starts")
+}
+
+impl Cluster {
+    /// Kills a node's process and starts the next one so much later.
+    #[allow(dead_code)]
+    pub fn restart(&mut self, n: usize, after: Duration) {
+        if let Some(mut c) = self.nodes[n].2.take() {
+            c.kill().expect("killed");
+            c.wait().expect("ended");
+        }
+        std::thread::sleep(after);
+        self.nodes[n].2 = Some(run(&self.files[n]));
+    }
 }
 
 impl Drop for Cluster {
@@ -164,6 +185,7 @@
     let ports: Vec<(TcpListener, TcpListener)> = (0..3).map(|_| (free(), free())).collect();
     let addrs: Vec<(String, String)> = ports.iter().map(|(a, b)| (addr(a), addr(b))).collect();
     drop(ports);
+    let mut files = Vec::new();
     let nodes = (0..3)
         .map(|n| {
             let peers: Vec<Value> = (0..3)
@@ -180,21 +202,18 @@
                     "state": {"rps": 200, "write_rps": 100, "value_kb": 8, "txn_ops": 12},
                     "cloud": {"rps": 5, "list_lag_s": 2}, "resources": resources}
             });
-            let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
+            let file = FilePath::new(env!("CARGO_TARGET_TMPDIR")).join(format!(
                 "node-{}-{}.json",
                 std::process::id(),
                 addrs[n].0.replace(':', "-")
             ));
             std::fs::write(&file, s.to_string()).expect("a settings file");
-            let child = Command::new(env!("CARGO_BIN_EXE_leaddeal"))
-                .arg("--config")
-                .arg(&file)
-                .spawn()
-                .expect("the program starts");
+            let child = run(&file);
+            files.push(file);
             (format!("n-{n}"), addrs[n].0.clone(), Some(child))
         })
         .collect();
-    Cluster { nodes }
+    Cluster { nodes, files }
 }
 
 pub fn until(what: &str, mut ok: impl FnMut() -> bool) {
--- a/crates/testkit/examples/days.rs
+++ b/crates/testkit/examples/days.rs
@@ -51,7 +51,11 @@
 }
 
 fn freeze(at: f64, for_s: f64) -> Fault {
-    (at, "node_freeze", vec![("count", 1.into()), ("busiest", true.into()), ("for_s", for_s.into())])
+    (
+        at,
+        "node_freeze",
+        vec![("count", 1.into()), ("busiest", true.into()), ("for_s", for_s.into())],
+    )
 }
 
 fn cut(at: f64, what: &'static str, for_s: f64) -> Fault {
--- a/crates/testkit/examples/seed.rs
+++ b/crates/testkit/examples/seed.rs
@@ -1,16 +1,44 @@
 //! Repeats one seed of the simulator: `cargo run --example seed -- SEED [SECONDS]`, with
-//! `LEADDEAL_TRACE=1` for what happens in it.
+//! `LEADDEAL_TRACE=1` for what happens in it; or plays many, some at once, and prints those that
+//! break a rule: `seed -- FIRST --many COUNT`. With `--storm` every controller ends twenty times
+//! within a minute.
+use clap::Parser;
 use leaddeal_testkit::sim::{Plan, Sim};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+#[derive(Parser)]
+struct Cli {
+    seed: u64,
+    #[arg(default_value_t = 240)]
+    seconds: u64,
+    #[arg(long)]
+    storm: bool,
+    /// So many seeds from this one on.
+    #[arg(long, default_value_t = 1)]
+    many: u64,
+}
 
 fn main() {
-    let arg = |i| std::env::args().nth(i).and_then(|s| s.parse().ok());
-    let (seed, seconds) = (arg(1).unwrap_or(1), arg(2).unwrap_or(240));
-    let plan = Plan { seconds, ..Plan::new(seed) };
-    match Sim::new(plan).run() {
-        Ok(()) => println!("no rule broken"),
-        Err(e) => {
-            println!("{e}");
-            std::process::exit(1);
+    let cli = Cli::parse();
+    let (next, broken) = (AtomicU64::new(cli.seed), AtomicU64::new(0));
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get().min(6));
+    std::thread::scope(|s| {
+        for _ in 0..threads {
+            s.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= cli.seed + cli.many {
+                    return;
+                }
+                let plan = if cli.storm { Plan::storm(seed) } else { Plan::new(seed) };
+                if let Err(e) = Sim::new(Plan { seconds: cli.seconds, ..plan }).run() {
+                    broken.fetch_add(1, Ordering::Relaxed);
+                    println!("seed {seed}: {}", e.split(" script:").next().unwrap_or_default());
+                }
+            });
         }
+    });
+    match broken.into_inner() {
+        0 => println!("no rule broken"),
+        _ => std::process::exit(1),
     }
 }
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -24,6 +24,10 @@
 /// Time of the beginning.
 pub const BEGIN: u64 = 10_000;
 const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Milliseconds until a controller is started again, where that is quick.
+const QUICK: std::ops::Range<u64> = 20..900;
+/// Controllers' time of day is off by so much at the most, in milliseconds.
+const WALL_OFF: u64 = 25;
 
 /// What is broken on purpose, to see that the checker notices.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,6 +68,8 @@
     pub open: u64,
     /// Changes a second that the state service takes; none: any.
     pub store: Option<f64>,
+    /// A controller that ended is started again within a second at the most, each time.
+    pub quick: bool,
 }
 
 impl Plan {
@@ -82,9 +88,24 @@
             closed: 0,
             open: 0,
             store: None,
+            quick: false,
         }
     }
 
+    /// Every controller ends twenty times within a minute, and is back within a second.
+    pub fn storm(seed: u64) -> Plan {
+        let mut rng = SmallRng::seed_from_u64(seed ^ 0x5707);
+        let mut script = Vec::new();
+        for node in 0..NODES {
+            for _ in 0..20 {
+                let back_ms = rng.random_range(QUICK);
+                let at = rng.random_range(40_000..100_000);
+                script.push((at, Fault::Crash { nodes: vec![node], back_ms }));
+            }
+        }
+        Plan { script, quick: true, ..Plan::new(seed) }
+    }
+
     /// A fleet of the size of a large deployment, without faults, counted.
     pub fn large(seed: u64) -> Plan {
         let large = Plan { scale: 20, array: 240, rate: 4, ..Plan::new(seed) };
@@ -426,11 +447,25 @@
         let mut s = settings(n, self.plan.team_max);
         s.params.workers.lease_s = lease;
         self.boots[n] = (self.now, self.boots[n].1 + 1);
-        self.nodes[n] = Some(Node::new(&s, self.now, 1));
+        let wall = self.wall_ms();
+        self.nodes[n] = Some(Node::new(&s, wall, 1));
         let boot = self.boots[n].1;
         self.at(1, Ev::Tick(n, boot));
     }
 
+    /// A controller's time of day, which wanders within its bound, and back.
+    fn wall_ms(&mut self) -> u64 {
+        self.now + self.rng.random_range(0..2 * WALL_OFF) - WALL_OFF
+    }
+
+    /// How long an ended controller stays away.
+    fn back_ms(&mut self) -> u64 {
+        match self.plan.quick || self.rng.random_bool(0.3) {
+            true => self.rng.random_range(QUICK),
+            false => self.rng.random_range(2000..8000),
+        }
+    }
+
     fn alive(&self, n: usize, boot: u64) -> bool {
         self.nodes[n].is_some() && self.boots[n].1 == boot
     }
@@ -449,11 +484,12 @@
         let ran = self.now - self.boots[n].0;
         let hasty = if self.plan.sabotage == Sabotage::HastyClock { 3 } else { 1 };
         let now = (ran + ran * n as u64 / 4000) * hasty + 1;
+        let wall = self.wall_ms();
         let Some(node) = self.nodes[n].as_mut() else { return Ok(()) };
         if let Some(t) = &mut self.tally {
             t.input(&input);
         }
-        let outputs = node.step(now, self.now, input);
+        let outputs = node.step(now, wall, input);
         for o in outputs {
             if let Some(t) = &mut self.tally {
                 t.output(&o);
@@ -511,13 +547,9 @@
             Output::Store { op, call } => match call {
                 StoreCall::Txn(t) if self.trace && t.changes.len() < 9 => {
                     eprintln!("{} n-{n} txn {t:?}", self.now);
-                    self.at(lag, Ev::Store(n, boot, op, StoreCall::Txn(t)));
+                    self.send_to_store(n, op, lag, StoreCall::Txn(t));
                 }
-                StoreCall::Watch { prefix, after, wait_ms } => {
-                    let until = self.now + wait_ms;
-                    self.at(lag, Ev::Watch(n, boot, op, prefix, after, until));
-                }
-                call => self.at(lag, Ev::Store(n, boot, op, call)),
+                call => self.send_to_store(n, op, lag, call),
             },
             Output::Cloud { op, call } => {
                 let result = if self.cut[n] { CloudResult::Refused } else { self.cloud(call)? };
@@ -552,6 +584,25 @@
         Ok(())
     }
 
+    /// What a controller asks of the state service is on its way.
+    fn send_to_store(&mut self, n: usize, op: u64, lag: u64, call: StoreCall) {
+        let boot = self.boots[n].1;
+        match call {
+            StoreCall::Watch { prefix, after, wait_ms } => {
+                let until = self.now + wait_ms;
+                self.at(lag, Ev::Watch(n, boot, op, prefix, after, until));
+            }
+            // Executed late, after whoever sent it gave it up or ended.
+            StoreCall::Txn(t) if self.plan.faults && self.rng.random_range(0..150) == 0 => {
+                let result = StoreResult::Unknown;
+                self.at(2000, Ev::In(n, boot, Input::Store { op, result }));
+                let held = self.rng.random_range(2000..25_000);
+                self.at(held, Ev::Store(n, boot, 0, StoreCall::Txn(t)));
+            }
+            call => self.at(lag, Ev::Store(n, boot, op, call)),
+        }
+    }
+
     fn cloud(&mut self, call: CloudCall) -> Result<CloudResult, String> {
         Ok(match call {
             CloudCall::Catalog => CloudResult::Catalog(Catalog { types: types(self.plan.scale) }),
@@ -911,14 +962,16 @@
             // Controllers reach all but each other, for longer than a cancellation may take.
             10 => self.apart_until = self.now + self.rng.random_range(5000..45_000),
             0 | 1 => {
-                self.nodes[n] = None;
-                let back = self.rng.random_range(2000..8000);
-                self.at(back, Ev::Restart(n));
+                if self.nodes[n].take().is_some() {
+                    let back = self.back_ms();
+                    self.at(back, Ev::Restart(n));
+                }
             }
             2 => {
+                let back = self.back_ms();
                 for i in 0..NODES {
                     if self.nodes[i].take().is_some() {
-                        self.at(3000, Ev::Restart(i));
+                        self.at(back, Ev::Restart(i));
                     }
                 }
             }
--- a/crates/testkit/src/tally.rs
+++ b/crates/testkit/src/tally.rs
@@ -77,7 +77,7 @@
                 let _ = ciborium::into_writer(msg, &mut bytes);
                 let kind = match msg {
                     NodeMsg::Seat { msg, .. } => seat_msg(msg),
-                    NodeMsg::Beat { .. } => "mesh Beat",
+                    NodeMsg::Beat(_) => "mesh Beat",
                     NodeMsg::Ask { .. } => "mesh Ask",
                     NodeMsg::Told { .. } => "mesh Told",
                     NodeMsg::WantSeat { .. } => "mesh WantSeat",
--- a/crates/testkit/tests/rules.rs
+++ b/crates/testkit/tests/rules.rs
@@ -29,6 +29,20 @@
     assert!(starts as u64 > seeds * 40, "too little ran to say anything: {starts}");
 }
 
+/// Each controller ends twenty times within a minute and is back within a second; seeds that broke
+/// a rule once are played again.
+#[test]
+fn rules_hold_in_storms_of_restarts() {
+    let seeds = std::env::var("LEADDEAL_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(12);
+    let mut starts = 0;
+    for plan in (100..100 + seeds).map(Plan::storm).chain([1498].map(plan)) {
+        let mut sim = Sim::new(plan);
+        sim.run().unwrap_or_else(|e| panic!("{e}"));
+        starts += sim.rules.starts as u64;
+    }
+    assert!(starts > seeds * 40, "too little ran to say anything: {starts}");
+}
+
 /// What the work costs, counted: on controllers with a few hundredths of a core, most of the
 /// time once went into packets, and into looks at machines without room.
 #[test]
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -294,10 +294,8 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum NodeMsg {
-    /// Alive, and owner of these seats under these epochs.
-    Beat {
-        owned: Vec<(u8, u64)>,
-    },
+    /// Alive, and what the sender knows of who owns what.
+    Beat(Beat),
     Seat {
         from: u8,
         from_epoch: u64,
@@ -321,6 +319,18 @@
     },
 }
 
+/// Told to every sibling once a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize_tuple, Deserialize_tuple)]
+pub struct Beat {
+    /// Seats that the sender acts for, and under which epochs.
+    pub owned: Vec<(u8, u64)>,
+    /// The newest owner it knows of each seat: seat, node by the order of names, epoch. Whoever
+    /// acted for a seat under an older epoch and says so here has let go of it.
+    pub known: Vec<(u8, u8, u64)>,
+    /// It can take users' requests.
+    pub ready: bool,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Told {
     State(JobState),
