Gangs that missed all aims keep their order: none was ever first, and all stood still

Cause: the time left to a gang's next aim was cut off at zero, so that of those overdue (older than 600 s) each that asked counted as due just then, after all that had asked before it; each was behind another, and nobody was first in line. Excluded: claims, replicas in the way (new figures, event=room), a zone that is cut. Change: the time left goes below zero.

--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -255,7 +255,9 @@
         let (late, due) = self.urgency(now);
         (self.wire.kind == Kind::Gang).then(|| mesh::Line {
             late,
-            due_ms: due.saturating_sub(now),
+            // Below zero once it is over: cut off there, all that were late by so much took
+            // themselves for later than whoever had asked before them, and none was ever first.
+            due_ms: due as i64 - now as i64,
             stands: self.refusals > 0 && self.target.is_some(),
             zone: self.target.map(|z| z.0),
         })
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -400,9 +400,12 @@
             let by: Vec<String> = by.map(|(c, (n, was))| format!("{c:?}={}", n - was)).collect();
             format!("{} rate={rate:.1}/s refused={refusals}", by.join(" ").to_lowercase())
         });
-        for o in self.owned.iter_mut().flatten() {
-            let what = o.coordinator.figures(out.now);
-            out.log(1, "seat", || what);
+        for i in 0..self.owned.len() {
+            let c = ctx!(self, out);
+            let Some(o) = &mut self.owned[i] else { continue };
+            let (seat, room) = (o.coordinator.figures(c.now), o.part.figures(&c));
+            out.log(1, "seat", || seat);
+            out.log(1, "room", || room);
         }
     }
 
--- /dev/null
+++ b/crates/core/src/part/figures.rs
@@ -0,0 +1,39 @@
+//! What stands in the way of GPU work on a part's machines, for the operators' log.
+use super::Part;
+use crate::ctx::Ctx;
+use crate::names::Room;
+
+impl Part {
+    /// Machines with GPUs by what is on them: GPU work; room for the GPU work asked for lately;
+    /// other tasks that will end; services, or holds, that stay; or nothing may come to them now.
+    pub fn figures(&self, ctx: &Ctx) -> String {
+        let (mut busy, mut open, mut short, mut blocked, mut away, mut claimed) =
+            (0, 0, 0, 0, 0, 0);
+        let needs: Vec<Room> =
+            self.gpu_work.keys().map(|&(cpu, gpu, mem)| Room { cpu, gpu, mem }).collect();
+        for (idx, m, g, later) in self.gpu_machines(ctx.names) {
+            let fits = |room: Room| needs.iter().any(|&n| room.fits(n) > 0);
+            let mut free = ctx.names.room_of_type(g.0);
+            let known = m.used().map(|u| free.sub(u, 1)).is_some();
+            claimed += u32::from(!self.claims.on(idx).is_empty());
+            if !m.confirmed || !known || ctx.now >= m.heard + ctx.cfg.quiet_ms {
+                away += 1;
+            } else if m.has_gpu_work() {
+                busy += 1;
+            } else if fits(free) {
+                open += 1;
+            } else if fits(later) {
+                short += 1;
+            } else {
+                blocked += 1;
+            }
+        }
+        format!(
+            "seat={} machines={} gpu_busy={busy} gpu_open={open} gpu_short_tasks={short} \
+             gpu_blocked={blocked} gpu_away={away} gpu_claimed={claimed} line={}",
+            self.seat.0,
+            self.machines.len(),
+            self.line.len(),
+        )
+    }
+}
--- a/crates/core/src/part/line.rs
+++ b/crates/core/src/part/line.rs
@@ -53,6 +53,10 @@
         self.waiting.is_empty()
     }
 
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub fn rank(&self, job: JobId) -> Option<Rank> {
         self.waiting.get(&job).map(|w| w.rank)
     }
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -12,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 mod claims;
+mod figures;
 mod line;
 mod offer;
 mod room;
--- a/crates/core/src/part/offer.rs
+++ b/crates/core/src/part/offer.rs
@@ -211,7 +211,12 @@
     }
 
     fn take_place(&mut self, now: Now, w: &Wanted, line: Line, fits: &Fits) -> Rank {
-        let rank = (Reverse(w.shape.priority), line.late, now + line.due_ms, JobId(w.job));
+        let rank = (
+            Reverse(w.shape.priority),
+            line.late,
+            now.saturating_add_signed(line.due_ms),
+            JobId(w.job),
+        );
         if let (true, Some(zone)) = (line.stands, line.zone.map(ZoneIdx)) {
             self.line.stand(now, rank, zone, w.count, &w.shape, fits);
         }
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -58,7 +58,7 @@
 pub struct Line {
     /// Aims that it has missed already, and the time left to the next.
     pub late: u8,
-    pub due_ms: u64,
+    pub due_ms: i64,
     /// Younger gangs get nothing in its zone until it is served. Not set by a gang that asks for
     /// the first time, or has one task.
     pub stands: bool,
