Claims follow a gang's present rank; only the first in line keeps machines set aside

Cause: a gang first in line set machines aside, missed an aim, and was behind all others from then on; its claims went on under the rank of before, so that neither it nor the new first could use the machines.

--- a/crates/core/src/part/claims.rs
+++ b/crates/core/src/part/claims.rs
@@ -62,12 +62,24 @@
         self.unname(job, m);
     }
 
-    /// Patient claims of a job last longer where `lasts` says so.
-    pub fn prolong(&mut self, job: JobId, until: Now, lasts: impl Fn(MachineIdx) -> bool) {
+    /// The job has this rank now, and its patient claims last longer where `lasts` says so.
+    ///
+    /// (Found on a day of our own: a gang first in line set machines aside, missed an aim, and was
+    /// behind all others from then on. Its claims went on under the rank of before, so that the
+    /// new first could not use those machines, and it could not either: 285 machines with GPUs
+    /// stood open for minutes while 390 gangs waited.)
+    pub fn prolong(
+        &mut self,
+        job: JobId,
+        rank: Option<Rank>,
+        until: Now,
+        lasts: impl Fn(MachineIdx) -> bool,
+    ) {
         for m in self.by_job.get(&job).into_iter().flatten() {
             let list = self.by_machine.get_mut(m).into_iter().flatten();
-            for c in list.filter(|c| c.job == job && c.patient && c.until < until) {
-                if lasts(*m) {
+            for c in list.filter(|c| c.job == job && c.patient) {
+                c.rank = rank;
+                if c.until < until && lasts(*m) {
                     c.until = until;
                 }
             }
@@ -140,7 +152,12 @@
         for (m, job, until) in [(a, 1, 10), (a, 2, 20), (b, 1, 30), (b, 1, 10)] {
             all.add(m, claim(job, until, true));
         }
-        all.prolong(JobId(1), 25, |m| m == a);
+        let rank = (std::cmp::Reverse(Priority::Normal), 1, 900, JobId(1));
+        all.prolong(JobId(1), Some(rank), 25, |m| m == a);
+        let first = (std::cmp::Reverse(Priority::Normal), 0, 905, JobId(7));
+        let of = |c: &&Claim| c.job == JobId(1);
+        let late = all.on(a).iter().find(of).expect("a claim");
+        assert!(!late.bars(JobId(7), Some(first)), "it missed an aim: who is first now may");
         all.expire(15);
         assert_eq!((all.count(JobId(1)), all.on(a).len(), all.on(b).len()), (2, 2, 1));
         all.give_up(JobId(1), a);
--- a/crates/core/src/part/room.rs
+++ b/crates/core/src/part/room.rs
@@ -33,6 +33,13 @@
     pub gpus: bool,
 }
 
+impl Seek<'_> {
+    /// For a gang of several tasks, which waits for a zone.
+    fn several(&self) -> bool {
+        self.w.line.is_some_and(|l| l.zone.is_some())
+    }
+}
+
 impl Part {
     /// Stops less important tasks so that up to `count` tasks of the job find room soon.
     /// False: there was no machine on which anything could be done for it.
@@ -42,10 +49,14 @@
         let job = JobId(w.job);
         let have = self.claims.count(job);
         let machines = &self.machines;
-        self.claims.prolong(job, now + 3000, |idx| {
+        let (line, several) = (&self.line, seek.several());
+        self.claims.prolong(job, rank, now + 3000, |idx| {
             let m = machines.get(&idx).filter(|m| !m.lapsed && m.notice.is_none());
-            let room = m.and_then(|m| zones.get(m.zone?.0 as usize));
-            room.is_some_and(|&r| r > 0)
+            let group = m.and_then(|m| Some((m.kind?, m.zone?, m.spot)));
+            let room = group.and_then(|g| zones.get(g.1 .0 as usize));
+            // Who is not first any more sets nothing aside for longer.
+            let behind = |g| several && rank.is_some_and(|r| line.behind(r, g));
+            room.is_some_and(|&r| r > 0) && !group.is_some_and(behind)
         });
         // What is done to one machine leaves the others as they are: each is judged once, and
         // again only after it was chosen.
@@ -96,11 +107,10 @@
         let (kind, zone, spot) = g;
         // Of gangs of several tasks only the first in line has machines set aside: when each
         // held some, all stood still.
-        let several = seek.w.line.is_some_and(|l| l.zone.is_some());
         fit(seek.fits, kind, spot).is_some_and(|f| f.allowed)
             && seek.zones.get(zone.0 as usize).is_some_and(|&r| r > 0)
             && (seek.gpus || ctx.names.room_of_type(kind).gpu == 0)
-            && !(several && seek.rank.is_some_and(|r| self.line.behind(r, g)))
+            && !(seek.several() && seek.rank.is_some_and(|r| self.line.behind(r, g)))
     }
 
     /// What it would cost to make room for a task of the job on this machine of that group, and
