--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -449,6 +449,27 @@
         assert_eq!(j.zone_room(&zones), [0, 9, 0]);
     }
 
+    /// Found on a day of our own: of gangs that had missed all aims each took itself for later than
+    /// all others, so that none was ever first in line.
+    #[test]
+    fn gangs_that_missed_all_aims_keep_their_order() {
+        let mut names = Names::default();
+        let mut j = Job::leftover(JobId(7), &mut names);
+        j.wire.kind = Kind::Gang;
+        // When its turn was, as a part reckons it from what it is told.
+        let turn = |j: &Job, now: Now| {
+            let line = j.line(now).expect("a gang's");
+            (line.late, now.saturating_add_signed(line.due_ms))
+        };
+        let (older, younger) = (1_000_000, 1_005_000);
+        for now in [1_100_000, 1_900_000, 3_000_000] {
+            j.created = older;
+            let first = turn(&j, now);
+            j.created = younger;
+            assert!(first < turn(&j, now - 900), "asked earlier, and younger all the same");
+        }
+    }
+
     /// A job older than the process must keep its age, or its order and urgency are lost.
     #[test]
     fn urgency_counts_from_the_submission() {
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -18,6 +18,8 @@
 mod room;
 mod showcase;
 mod stock;
+#[cfg(test)]
+mod tests;
 
 use claims::Claims;
 use line::InLine;
--- /dev/null
+++ b/crates/core/src/part/tests.rs
@@ -0,0 +1,184 @@
+//! A part by itself: what it offers, claims and calls lost.
+use super::*;
+use crate::budget::Budget;
+use crate::ctx::{Config, Ops};
+use crate::ids::NodeIdx;
+use crate::io::{Out, Output};
+use crate::jobs::Aims;
+use crate::seat::{Owner, SeatView};
+use leaddeal_wire::cloud::{Catalog, MachineType};
+use leaddeal_wire::mesh::{Line, Shape as WireShape, Wanted};
+use leaddeal_wire::user::Kind;
+use std::sync::Arc;
+
+const LEASE_MS: u64 = 10_000;
+const EPOCH: Epoch = Epoch(5);
+
+/// What a part stands in: one seat, one zone, one type of machine with GPUs.
+struct World {
+    names: Names,
+    cfg: Config,
+    budget: Budget,
+    view: Vec<SeatView>,
+}
+
+impl World {
+    fn new() -> World {
+        let mut names = Names::default();
+        names.zones = vec!["a".into()];
+        let big = MachineType {
+            name: "big".into(),
+            zones: vec!["a".into()],
+            cpus: 12.0,
+            gpus: 2.0,
+            memory_gb: 48.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 1.0,
+            boot_s: 1.0,
+        };
+        names.set_catalog(Catalog { types: vec![big] });
+        let cfg = Config {
+            worker_lease_ms: LEASE_MS,
+            cancel_ms: 30_000,
+            quiet_ms: 6000,
+            max_picks: 50,
+            txn_ops: 12,
+            list_lag_ms: 3000,
+            cloud_gap_ms: 100,
+            teams: Vec::new(),
+            aims: Aims::default(),
+        };
+        let mut seat = SeatView::default();
+        seat.own(Owner { node: NodeIdx(0), boot: 1, epoch: EPOCH });
+        World { names, cfg, budget: Budget::new(50.0, 1, 1), view: vec![seat] }
+    }
+
+    /// Does something at that time; returns the messages sent and the events logged.
+    fn at(&mut self, now: Now, f: impl FnOnce(&mut Ctx)) -> (Vec<SeatMsg>, Vec<&'static str>) {
+        let mut out = Out { now, list: Vec::new(), looked: 0 };
+        let mut ops = Ops { next: 0, open: HashMap::new() };
+        let (mut sends, mut relays) = (VecDeque::new(), HashMap::new());
+        f(&mut Ctx {
+            now,
+            time_ms: now,
+            valid: true,
+            wake: false,
+            out: &mut out,
+            names: &mut self.names,
+            cfg: &self.cfg,
+            budget: &mut self.budget,
+            me: NodeIdx(0),
+            view: &self.view,
+            heard: &[0],
+            ops: &mut ops,
+            sends: &mut sends,
+            relays: &mut relays,
+        });
+        let logged = out.list.iter().filter_map(|o| match o {
+            Output::Log(_, event, _) => Some(*event),
+            _ => None,
+        });
+        (sends.into_iter().map(|s| s.2).collect(), logged.collect())
+    }
+}
+
+fn report(machine: &str, seq: u64) -> Report {
+    Report {
+        machine: machine.into(),
+        addr: String::new(),
+        type_name: "big".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq,
+        token: EPOCH.0,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+fn wanted(job: u64, kind: Kind, count: u32, line: Option<Line>) -> Wanted {
+    let gang = kind == Kind::Gang;
+    let shape = WireShape {
+        kind,
+        priority: Priority::Normal,
+        cpu: if gang { 10_000 } else { 1000 },
+        gpu: if gang { 2000 } else { 0 },
+        mem: 1000,
+        types: None,
+        spot: true,
+        image: "i".into(),
+        image_gb: 1.0,
+        save_s: 0.0,
+        checkpoint_s: 0.0,
+        estimate_s: 30.0,
+    };
+    Wanted {
+        job,
+        shape: Arc::new(shape),
+        count,
+        zone_room: vec![count],
+        make_room: true,
+        pressing: false,
+        anywhere: false,
+        line,
+    }
+}
+
+/// Found on a day of our own: arrays claimed the machines that they were kept off for the sake of
+/// gangs, again and again, and the gangs could not have them either.
+#[test]
+fn machines_kept_for_gangs_are_not_claimed_by_who_is_kept_off() {
+    let mut w = World::new();
+    let mut p = Part::new(Seat(0), EPOCH, 1, 1);
+    w.at(100, |c| {
+        for m in ["n-000001", "n-000002"] {
+            p.report(c, &report(m, 1)).expect("an answer");
+        }
+    });
+    let mut ask = |p: &mut Part, now, negotiation, item: Wanted| {
+        let items = vec![item];
+        let msg = SeatMsg::Request { negotiation, items, gpu_work: Vec::new() };
+        let (sent, _) = w.at(now, |c| p.handle(c, Seat(0), EPOCH, msg));
+        let offered = sent.iter().find_map(|m| match m {
+            SeatMsg::Offers { offers, .. } => Some(offers.iter().map(|o| o.count).sum::<u32>()),
+            _ => None,
+        });
+        w.at(now, |c| {
+            p.handle(c, Seat(0), EPOCH, SeatMsg::Close { negotiation });
+        });
+        offered.expect("an answer")
+    };
+    // Two of its four tasks would fit: it stands in line for the zone.
+    let line = Line { late: 0, due_ms: 9000, stands: true, zone: Some(0) };
+    ask(&mut p, 200, 1, wanted(7, Kind::Gang, 4, Some(line)));
+    assert_eq!(ask(&mut p, 300, 2, wanted(8, Kind::Array, 20, None)), 0, "kept off");
+    assert_eq!(p.claims.count(JobId(8)), 0, "and it claims nothing");
+    assert_eq!(ask(&mut p, 400, 3, wanted(7, Kind::Gang, 4, Some(line))), 2, "the gang may");
+}
+
+/// After a takeover a silent machine is waited for until no older owner can have answered it.
+#[test]
+fn a_silent_machine_waits_for_its_lease_alone_once_older_owners_let_go() {
+    let lost_at = |let_go: Option<Now>| {
+        let mut w = World::new();
+        let mut p = Part::new(Seat(0), EPOCH, 1000, 1);
+        let pick = Pick { task: 0, attempt: 3, machine: "n-000001".into(), session: 1 };
+        let shape = wanted(7, Kind::Array, 1, None).shape;
+        let place = SeatMsg::Place { job: 7, shape, picks: vec![pick], adopt: true };
+        w.at(1100, |c| p.handle(c, Seat(0), EPOCH, place));
+        (1100..100_000).step_by(100).find(|&now| {
+            if let_go.is_some_and(|at| now >= at) {
+                p.older_let_go(now);
+            }
+            let (_, logged) = w.at(now, |c| p.tick(c));
+            logged.contains(&"machine_lost")
+        })
+    };
+    let whole = lost_at(None).expect("lost in the end");
+    assert!(whole > 1000 + GRACE_MS + LEASE_MS, "the owner before may have answered it: {whole}");
+    let proven = lost_at(Some(3000)).expect("lost in the end");
+    assert!((3000 + LEASE_MS..3000 + LEASE_MS + 1000).contains(&proven), "at {proven}");
+}
