--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -453,8 +453,11 @@
         self.at(1, Ev::Tick(n, boot));
     }
 
-    /// A controller's time of day, which wanders within its bound, and back.
+    /// A controller's time of day, which wanders within its bound, and back; not on quiet days.
     fn wall_ms(&mut self) -> u64 {
+        if !self.plan.faults {
+            return self.now;
+        }
         self.now + self.rng.random_range(0..2 * WALL_OFF) - WALL_OFF
     }
 
