One question for a gang that is not first in line; the simulator's trace has no arm of its own

From a second reading of the change: making room and prolonging claims asked the same in two places, and a traced transaction was sent by a copy of the untraced arm.

--- a/crates/core/src/part/room.rs
+++ b/crates/core/src/part/room.rs
@@ -2,7 +2,7 @@
 use super::claims::Claim;
 use super::offer::{fit, fits_of, Fits, Rank};
 use super::stock::Group;
-use super::Part;
+use super::{InLine, Part};
 use crate::ctx::Ctx;
 use crate::fleet::{Key, Machine, StopWish, TaskOn};
 use crate::ids::{JobId, MachineIdx, ZoneIdx};
@@ -34,9 +34,11 @@
 }
 
 impl Seek<'_> {
-    /// For a gang of several tasks, which waits for a zone.
-    fn several(&self) -> bool {
-        self.w.line.is_some_and(|l| l.zone.is_some())
+    /// Of gangs of several tasks, which wait for a zone, only the first in line has machines set
+    /// aside: when each held some, all stood still. Whether this is one that is not the first.
+    fn behind(&self, line: &InLine, g: Group) -> bool {
+        let several = self.w.line.is_some_and(|l| l.zone.is_some());
+        several && self.rank.is_some_and(|r| line.behind(r, g))
     }
 }
 
@@ -49,14 +51,13 @@
         let job = JobId(w.job);
         let have = self.claims.count(job);
         let machines = &self.machines;
-        let (line, several) = (&self.line, seek.several());
+        let line = &self.line;
         self.claims.prolong(job, rank, now + 3000, |idx| {
             let m = machines.get(&idx).filter(|m| !m.lapsed && m.notice.is_none());
             let group = m.and_then(|m| Some((m.kind?, m.zone?, m.spot)));
             let room = group.and_then(|g| zones.get(g.1 .0 as usize));
             // Who is not first any more sets nothing aside for longer.
-            let behind = |g| several && rank.is_some_and(|r| line.behind(r, g));
-            room.is_some_and(|&r| r > 0) && !group.is_some_and(behind)
+            room.is_some_and(|&r| r > 0) && !group.is_some_and(|g| seek.behind(line, g))
         });
         // What is done to one machine leaves the others as they are: each is judged once, and
         // again only after it was chosen.
@@ -105,12 +106,10 @@
     /// Whether room for the job may be made on machines of this group at all.
     fn may_make_room(&self, ctx: &Ctx, seek: &Seek, g: Group) -> bool {
         let (kind, zone, spot) = g;
-        // Of gangs of several tasks only the first in line has machines set aside: when each
-        // held some, all stood still.
         fit(seek.fits, kind, spot).is_some_and(|f| f.allowed)
             && seek.zones.get(zone.0 as usize).is_some_and(|&r| r > 0)
             && (seek.gpus || ctx.names.room_of_type(kind).gpu == 0)
-            && !(seek.several() && seek.rank.is_some_and(|r| self.line.behind(r, g)))
+            && !seek.behind(&self.line, g)
     }
 
     /// What it would cost to make room for a task of the job on this machine of that group, and
--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim.rs
@@ -547,13 +547,14 @@
                     self.at(t - self.now, Ev::In(to, b, input));
                 }
             }
-            Output::Store { op, call } => match call {
-                StoreCall::Txn(t) if self.trace && t.changes.len() < 9 => {
-                    eprintln!("{} n-{n} txn {t:?}", self.now);
-                    self.send_to_store(n, op, lag, StoreCall::Txn(t));
+            Output::Store { op, call } => {
+                if let (true, StoreCall::Txn(t)) = (self.trace, &call) {
+                    if t.changes.len() < 9 {
+                        eprintln!("{} n-{n} txn {t:?}", self.now);
+                    }
                 }
-                call => self.send_to_store(n, op, lag, call),
-            },
+                self.send_to_store(n, op, lag, call);
+            }
             Output::Cloud { op, call } => {
                 let result = if self.cut[n] { CloudResult::Refused } else { self.cloud(call)? };
                 self.at(80 + lag, Ev::In(n, boot, Input::Cloud { op, result }));
