Reports of workers that don't reach their owner are passed on by a sibling

Excluded: moving the seat (a load and a cold start for a short or one-zone cut); passing on only who came back (two time-outs are a whole lease).

Change: two messages between controllers, Report and Answered; node/detour.rs decides between the direct way and the detour.

--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -55,6 +55,7 @@
     };
 }
 
+mod detour;
 mod finals;
 mod seats;
 mod siblings;
@@ -62,6 +63,9 @@
 mod users;
 mod workers;
 
+use detour::Detours;
+use workers::Passed;
+
 #[derive(Debug)]
 struct Call {
     req: ReqId,
@@ -103,6 +107,10 @@
     calls: BTreeMap<u64, Call>,
     next_call: u64,
     relays: HashMap<ReqId, (String, u64)>,
+    /// Workers that don't reach their owners.
+    detours: Detours,
+    /// Their reports that were passed on, by the number of the call.
+    passed: BTreeMap<u64, Passed>,
     catalog_at: Now,
     slow_at: Now,
     figures_at: Now,
@@ -159,6 +167,8 @@
             calls: BTreeMap::new(),
             next_call: boot << 20,
             relays: HashMap::new(),
+            detours: Detours::default(),
+            passed: BTreeMap::new(),
             catalog_at: now,
             slow_at: now,
             figures_at: now + FIGURES_MS,
@@ -209,7 +219,7 @@
             Input::Submit { req, id, job } => self.submit(&mut out, req, id, job),
             Input::Get { req, id } => self.lookup(&mut out, req, id, Ask::Get),
             Input::Cancel { req, id } => self.lookup(&mut out, req, id, Ask::Cancel),
-            Input::Report { req, report } => self.report(&mut out, req, &report),
+            Input::Report { req, report } => self.report(&mut out, req, report),
             Input::Orders { machine, batch, outcome } => {
                 self.direct_outcome(&mut out, &machine, batch, &outcome);
             }
@@ -379,6 +389,7 @@
             }
             self.wake |= c.wake;
         }
+        self.tick_detours(out);
         self.tick_finals(out);
         if now >= self.slow_at {
             self.slow_at = now + TICK_SLOW_MS;
@@ -400,6 +411,10 @@
             let by: Vec<String> = by.map(|(c, (n, was))| format!("{c:?}={}", n - was)).collect();
             format!("{} rate={rate:.1}/s refused={refusals}", by.join(" ").to_lowercase())
         });
+        let detours = self.detours.count(out.now);
+        if detours > 0 {
+            out.log(1, "detours", || format!("workers={detours}"));
+        }
         for i in 0..self.owned.len() {
             let c = ctx!(self, out);
             let Some(o) = &mut self.owned[i] else { continue };
@@ -419,6 +434,7 @@
         if self.marks.len() > MARKS + self.cfg.cancel_ms as usize / 1000 {
             self.marks.pop_front();
         }
+        self.detours.expire(now);
         self.beat(out);
         // At home again and ready: ask for the own seat.
         let me = self.me.0 as usize;
--- a/crates/core/src/node/seats.rs
+++ b/crates/core/src/node/seats.rs
@@ -27,7 +27,7 @@
         self.drop_seat(out, seat);
         let n = self.view.len();
         out.log(1, "seat_acquired", || format!("seat={} epoch={}", seat.0, epoch.0));
-        self.view[i].own(Owner { node: self.me, boot: self.boot, epoch });
+        self.view[i].own(Owner { node: self.me, boot: self.boot, epoch }, now);
         self.owned[i] = Some(Owned {
             epoch,
             coordinator: Coordinator::new(seat, epoch, n),
@@ -110,7 +110,7 @@
         if self.view[i].owner.is_some_and(|o| o.epoch > epoch) {
             return;
         }
-        self.view[i].own(owner);
+        self.view[i].own(owner, now);
         let mine = owner.node == self.me && boot == self.boot;
         if mine && self.lease.valid(now) {
             self.own(out, seat, epoch);
--- a/crates/core/src/node/siblings.rs
+++ b/crates/core/src/node/siblings.rs
@@ -2,7 +2,7 @@
 use super::{Node, MOST_CALLS};
 use crate::ctx::{Ask, Ctx};
 use crate::ids::{seat_of_job, Epoch, JobId, NodeIdx, Seat};
-use crate::io::{Out, Output};
+use crate::io::{Out, Output, WorkerReply};
 use crate::seat::Owner;
 use leaddeal_wire::mesh::{Beat, NodeMsg, Told};
 
@@ -33,7 +33,7 @@
             let known = (node.0 as usize) < self.nodes.len();
             let Some(v) = self.view.get_mut(seat.0 as usize).filter(|_| known) else { continue };
             // Of our own former epochs we know, and of our present ones.
-            if node != self.me && v.claimed(Owner { node, boot: 0, epoch: Epoch(epoch) }) {
+            if node != self.me && v.claimed(Owner { node, boot: 0, epoch: Epoch(epoch) }, out.now) {
                 if self.owned[seat.0 as usize].is_some() {
                     self.drop_seat(out, seat);
                 }
@@ -117,6 +117,21 @@
                     }
                 }
             }
+            NodeMsg::Report { call, report } => {
+                let answer = match self.judge(out, &report) {
+                    WorkerReply::Answer(a) => Some(a),
+                    WorkerReply::Redirect(_) | WorkerReply::Unavailable => None,
+                };
+                let to = from.to_string();
+                out.list.push(Output::Mesh { to, msg: NodeMsg::Answered { call, answer } });
+            }
+            NodeMsg::Answered { call, answer } => {
+                if let Some(p) = self.passed.remove(&call) {
+                    // It has none to give: the worker asks the next node.
+                    let reply = answer.map_or(WorkerReply::Redirect(None), WorkerReply::Answer);
+                    out.list.push(Output::Worker { req: p.req, reply });
+                }
+            }
             NodeMsg::WantSeat { seat } => {
                 if seat as usize == n {
                     if let Some(o) = self.owned.get_mut(seat as usize).and_then(Option::as_mut) {
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -1,11 +1,21 @@
 //! Workers: who may be answered, and what.
-use super::{Node, LET_GO_MS};
+use super::detour::Way;
+use super::{Node, CALL_MS, LET_GO_MS, MOST_CALLS};
 use crate::ctx::Ctx;
+use crate::health::lately;
 use crate::ids::{seat_of_machine, Now};
 use crate::io::{DirectOutcome, Out, Output, ReqId, WorkerReply};
 use crate::seat::at_most;
+use leaddeal_wire::mesh::NodeMsg;
 use leaddeal_wire::worker::Report;
 
+/// A worker's report that was passed on to the owner of its machine's seat.
+#[derive(Debug)]
+pub(super) struct Passed {
+    pub(super) req: ReqId,
+    until: Now,
+}
+
 impl Node {
     /// Whether workers may be answered. Who hears neither the store nor all siblings can't learn
     /// what was cancelled: it lets its workers go in time for whoever owns its seats by then. (Found
@@ -18,13 +28,53 @@
         self.lease.in_grace(now) && !(uninformed && now >= self.lease.renewed + at_most(in_time))
     }
 
-    pub(super) fn report(&mut self, out: &mut Out, req: ReqId, r: &Report) {
+    pub(super) fn report(&mut self, out: &mut Out, req: ReqId, r: Box<Report>) {
+        let reply = self.judge(out, &r);
+        match reply {
+            WorkerReply::Redirect(Some(_)) => self.send_on(out, req, r, reply),
+            _ => out.list.push(Output::Worker { req, reply }),
+        }
+    }
+
+    /// The seat is a sibling's: the worker is sent there, or its report is passed on.
+    fn send_on(&mut self, out: &mut Out, req: ReqId, report: Box<Report>, direct: WorkerReply) {
+        let now = out.now;
+        let seat = seat_of_machine(&report.machine, self.view.len());
+        let view = self.view[seat.0 as usize];
+        let heard = view.owner.filter(|o| lately(self.health.heard()[o.node.0 as usize], now));
+        let owner = heard.filter(|_| self.passed.len() < MOST_CALLS);
+        let machine = self.names.machine(&report.machine);
+        let owner_for = now.saturating_sub(view.owned_since);
+        let way =
+            owner.map(|_| self.detours.way(machine, !report.tasks.is_empty(), owner_for, now));
+        let (Some(o), Some(Way::Detour)) = (owner, way) else {
+            out.list.push(Output::Worker { req, reply: direct });
+            return;
+        };
+        self.next_call += 1;
+        let call = self.next_call;
+        self.passed.insert(call, Passed { req, until: now + CALL_MS });
+        let to = self.nodes[o.node.0 as usize].clone();
+        out.list.push(Output::Mesh { to, msg: NodeMsg::Report { call, report } });
+    }
+
+    /// The owner has not answered in time: the worker asks the next node.
+    pub(super) fn tick_detours(&mut self, out: &mut Out) {
+        let now = out.now;
+        while let Some(e) = self.passed.first_entry().filter(|e| now >= e.get().until) {
+            let Passed { req, .. } = e.remove();
+            out.list.push(Output::Worker { req, reply: WorkerReply::Redirect(None) });
+        }
+    }
+
+    /// What the report is worth here: an answer, if its machine's seat is ours.
+    pub(super) fn judge(&mut self, out: &mut Out, r: &Report) -> WorkerReply {
         let now = out.now;
         let seat = seat_of_machine(&r.machine, self.view.len());
         let grace = self.may_answer(now);
         let owner = self.view[seat.0 as usize].owner;
         let mut c = ctx!(self, out);
-        let reply = if let Some(o) = self.owned[seat.0 as usize].as_mut().filter(|_| grace) {
+        if let Some(o) = self.owned[seat.0 as usize].as_mut().filter(|_| grace) {
             match o.part.report(&mut c, r) {
                 Some(a) => WorkerReply::Answer(a),
                 None => WorkerReply::Redirect(None),
@@ -36,8 +86,7 @@
                 }
                 _ => WorkerReply::Unavailable,
             }
-        };
-        out.list.push(Output::Worker { req, reply });
+        }
     }
 
     pub(super) fn direct_outcome(
--- a/crates/core/src/part/tests.rs
+++ b/crates/core/src/part/tests.rs
@@ -51,7 +51,7 @@
             aims: Aims::default(),
         };
         let mut seat = SeatView::default();
-        seat.own(Owner { node: NodeIdx(0), boot: 1, epoch: EPOCH });
+        seat.own(Owner { node: NodeIdx(0), boot: 1, epoch: EPOCH }, 0);
         World { names, cfg, budget: Budget::new(50.0, 1, 1), view: vec![seat] }
     }
 
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -33,6 +33,8 @@
     /// Whoever owned it at this revision or before owns it no more.
     pub vacated: u64,
     pub vacant_since: Now,
+    /// When the present owner was first known of.
+    pub owned_since: Now,
     /// An acquisition is under way.
     pub trying: bool,
 }
@@ -62,16 +64,19 @@
     ///
     /// (Found by the simulator: beats of an owner in doubt told nothing of its seats, and the owner
     /// before, whom the store refused, kept workers with cancelled tasks.)
-    pub fn claimed(&mut self, by: Owner) -> bool {
+    pub fn claimed(&mut self, by: Owner, now: Now) -> bool {
         let news = self.owner.is_none_or(|o| o.epoch < by.epoch) && by.epoch.0 > self.vacated;
         if news {
-            self.own(by);
+            self.own(by, now);
         }
         news
     }
 
     /// The store says, or a sibling is believed, that this is the owner.
-    pub fn own(&mut self, by: Owner) {
+    pub fn own(&mut self, by: Owner, now: Now) {
+        if self.owner.is_none_or(|o| o.epoch != by.epoch) {
+            self.owned_since = now;
+        }
         self.owner = Some(by);
         if self.last.is_none_or(|l| l.epoch < by.epoch) {
             self.last = Some(by);
@@ -108,15 +113,15 @@
     fn a_claim_is_believed_unless_the_seat_was_given_up_since() {
         let by = |epoch| Owner { node: NodeIdx(1), boot: 0, epoch: Epoch(epoch) };
         let mut v = SeatView::default();
-        assert!(v.claimed(by(7)) && !v.claimed(by(7)) && !v.claimed(by(5)));
+        assert!(v.claimed(by(7), 0) && !v.claimed(by(7), 9) && !v.claimed(by(5), 9));
         v.vacate(6, 100);
         assert!(v.owner.is_some(), "an older deletion says nothing of a newer owner");
         v.vacate(9, 100);
         assert!(v.owner.is_none() && v.vacant_since == 100);
-        assert!(!v.claimed(by(7)), "it does not know yet that its lease is over");
+        assert!(!v.claimed(by(7), 200), "it does not know yet that its lease is over");
         assert_eq!(v.last.map(|o| o.epoch), Some(Epoch(7)), "siblings that know less are told");
         v.vacate(9, 300);
         assert_eq!(v.vacant_since, 100, "counted from when it was first seen");
-        assert!(v.claimed(by(12)));
+        assert!(v.claimed(by(12), 400) && v.owned_since == 400);
     }
 }
--- a/crates/testkit/src/tally.rs
+++ b/crates/testkit/src/tally.rs
@@ -81,6 +81,8 @@
                     NodeMsg::Ask { .. } => "mesh Ask",
                     NodeMsg::Told { .. } => "mesh Told",
                     NodeMsg::WantSeat { .. } => "mesh WantSeat",
+                    NodeMsg::Report { .. } => "mesh Report",
+                    NodeMsg::Answered { .. } => "mesh Answered",
                 };
                 self.add(kind, bytes.len() as u64);
             }
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -1,7 +1,7 @@
 //! Messages between controllers, CBOR in length-prefixed frames. What is sent in numbers goes as
 //! arrays, without the names of its fields: those took most of the bytes and of the time.
 use crate::user::{JobState, Kind, Priority};
-use crate::worker::{TaskState, Why};
+use crate::worker::{Answer, Report, TaskState, Why};
 use serde::{Deserialize, Serialize};
 use serde_tuple::{Deserialize_tuple, Serialize_tuple};
 use std::sync::Arc;
@@ -317,6 +317,16 @@
     WantSeat {
         seat: u8,
     },
+    /// A worker's report, passed on to the owner of its machine's seat, which it does not reach.
+    Report {
+        call: u64,
+        report: Box<Report>,
+    },
+    /// Back: the owner's answer; none: it has none to give.
+    Answered {
+        call: u64,
+        answer: Option<Answer>,
+    },
 }
 
 /// Told to every sibling once a second.
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -7,7 +7,7 @@
 pub const COMMANDS: &str = "/orders";
 pub const STATUS: &str = "/show";
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     #[serde(rename = "vessel")]
     pub machine: String,
@@ -31,7 +31,7 @@
     pub tasks: Vec<TaskReport>,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TaskReport {
     /// None: no task of this system.
     #[serde(rename = "haul", with = "task_or_none")]
@@ -94,7 +94,7 @@
 }
 
 /// Answer to a report.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
     #[serde(rename = "helm")]
     pub token: u64,
