Boots are learned by type and zone: late machines are no room, and asked for elsewhere

Need: the operators' machines come up late or never. One that never came up counted as room for three times its boot time, so that what waited for it was asked for nowhere else, and where all boots are slow the constant would return machines just before they come.

Change: buyer/boots.rs keeps apart until when a boot counts as room, and when it is given up; both learned. A type in trouble in a zone counts twice as dear. never_up in the log tells what such machines cost.

--- /dev/null
+++ b/crates/core/src/buyer/boots.rs
@@ -0,0 +1,106 @@
+//! How long machines take to come up, by type and zone: learned from those that did.
+//!
+//! Three questions are kept apart. Until `counts_ms` a machine that boots counts as room to come;
+//! after that the room is asked for again, elsewhere if there is a choice, though the machine is not
+//! given up. Only after `given_up_ms` is it returned: where boots have become slow, those that are
+//! asked for in its place would take as long.
+//!
+//! Invariants: what is given up was no room before; nobody is given up sooner than after three times
+//! the catalog's time, or twice the longest boot seen lately, whichever is longer.
+//!
+//! (From the operators' letter: new machines came up late or never. A machine that never came up was
+//! counted as room for three times its boot time, and what waited for it was asked for nowhere else.)
+use crate::ids::Now;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Boots remembered of each type and zone, and for how long.
+const REMEMBERED: usize = 12;
+const LATELY_MS: u64 = 600_000;
+/// Late ones at the same time by which a type is taken to be in trouble in a zone.
+const TROUBLE: usize = 2;
+
+/// A type and a zone by their names.
+pub type Where = (String, String);
+
+#[derive(Debug, Default)]
+pub struct Boots {
+    /// When each came up, and how long it took.
+    seen: BTreeMap<Where, VecDeque<(Now, u64)>>,
+    late: BTreeMap<Where, usize>,
+}
+
+impl Boots {
+    pub fn came_up(&mut self, at: &Where, now: Now, took_ms: u64) {
+        let seen = self.seen.entry(at.clone()).or_default();
+        seen.retain(|s| now < s.0 + LATELY_MS);
+        seen.push_back((now, took_ms));
+        if seen.len() > REMEMBERED {
+            seen.pop_front();
+        }
+    }
+
+    fn longest(&self, at: &Where) -> u64 {
+        self.seen.get(at).into_iter().flatten().map(|s| s.1).max().unwrap_or(0)
+    }
+
+    /// So long a machine that boots counts as room to come; `said_ms`: the catalog's boot time.
+    pub fn counts_ms(&self, at: &Where, said_ms: u64) -> u64 {
+        (said_ms * 2 + 5000).max(self.longest(at) * 5 / 4)
+    }
+
+    /// After so long it is returned.
+    pub fn given_up_ms(&self, at: &Where, said_ms: u64) -> u64 {
+        (said_ms * 3 + 10_000).max(self.longest(at) * 2)
+    }
+
+    /// The machines of which none counts as room any more, by where they boot.
+    pub fn set_late(&mut self, late: impl Iterator<Item = Where>) {
+        self.late.clear();
+        for at in late {
+            *self.late.entry(at).or_default() += 1;
+        }
+    }
+
+    /// Several are late there now: it is tried again once they came up or were returned.
+    pub fn in_trouble(&self, at: &Where) -> bool {
+        self.late.get(at).is_some_and(|n| *n >= TROUBLE)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(zone: &str) -> Where {
+        ("mule".into(), zone.into())
+    }
+
+    #[test]
+    fn slow_boots_are_waited_for_where_they_were_seen() {
+        let mut b = Boots::default();
+        let (a, said) = (at("a"), 25_000);
+        assert_eq!((b.counts_ms(&a, said), b.given_up_ms(&a, said)), (55_000, 85_000));
+        for ms in [400, 700, 600] {
+            b.came_up(&a, 1000, ms);
+        }
+        assert_eq!(b.counts_ms(&a, said), 55_000, "fast ones make nobody impatient");
+        b.came_up(&a, 2000, 100_000);
+        assert_eq!((b.counts_ms(&a, said), b.given_up_ms(&a, said)), (125_000, 200_000));
+        assert_eq!(b.counts_ms(&at("b"), said), 55_000, "another zone's are its own");
+        b.came_up(&a, 2000 + LATELY_MS, 30_000);
+        assert_eq!(b.counts_ms(&a, said), 55_000, "and the trouble is forgotten");
+        for _ in 0..100 {
+            b.came_up(&a, 700_000, 30_000);
+        }
+        assert_eq!(b.seen[&a].len(), REMEMBERED);
+    }
+
+    #[test]
+    fn several_late_ones_are_trouble_until_they_came_or_went() {
+        let mut b = Boots::default();
+        b.set_late([at("a"), at("b"), at("a")].into_iter());
+        assert!(b.in_trouble(&at("a")) && !b.in_trouble(&at("b")));
+        b.set_late([at("a")].into_iter());
+        assert!(!b.in_trouble(&at("a")), "tried again");
+    }
+}
--- a/crates/core/src/buyer/mod.rs
+++ b/crates/core/src/buyer/mod.rs
@@ -9,8 +9,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+mod boots;
 mod rentals;
 
+use boots::{Boots, Where};
 use rentals::{Came, Rentals, MOST_A_CALL};
 
 const LIST_MS: u64 = 3000;
@@ -19,6 +21,8 @@
 const PLANNED: usize = 8;
 /// Machines that a plan asks for at most for one job that can wait.
 const LOW_AT_ONCE: u32 = 8;
+/// So many times as dear counts a machine where several others have not come up in time.
+const TROUBLED: f64 = 2.0;
 /// A refusal says that there is nothing to be had for about this long.
 const REFUSED_MS: u64 = 20_000;
 
@@ -57,6 +61,9 @@
     list_known: bool,
     plan_at: Now,
     rentals: Rentals,
+    boots: Boots,
+    /// Spent on machines that never came up, in the prices' unit.
+    vain: f64,
     refused: HashMap<(String, String, bool), Now>,
     draining: BTreeMap<String, Now>,
     to_release: BTreeSet<String>,
@@ -76,6 +83,16 @@
         let (type_name, zone) = (rent.type_name.clone(), rent.zone.clone());
         Booting { type_name, zone, spot: rent.spot, since }
     }
+
+    fn place(&self) -> Where {
+        (self.type_name.clone(), self.zone.clone())
+    }
+}
+
+/// What the catalog says that a boot of this type takes.
+fn said_ms(ctx: &Ctx, type_name: &str) -> u64 {
+    let kind = ctx.names.type_idx(type_name);
+    (kind.map_or(60.0, |i| ctx.names.catalog[i.0 as usize].boot_s).max(0.0) * 1000.0) as u64
 }
 
 /// A machine that is coming up, or asked for, with the room that nobody's lack has taken.
@@ -124,6 +141,8 @@
             list_known: false,
             plan_at: now,
             rentals: Rentals::default(),
+            boots: Boots::default(),
+            vain: 0.0,
             refused: HashMap::new(),
             draining: BTreeMap::new(),
             to_release: BTreeSet::new(),
@@ -270,16 +289,25 @@
         let parts = &self.parts;
         let mut release = Vec::new();
         for (name, l) in &self.listed {
-            let boot_ms = ctx
-                .names
-                .type_idx(&l.type_name)
-                .map_or(60.0, |i| ctx.names.catalog[i.0 as usize].boot_s)
-                * 1000.0;
-            let overdue = l.age_s * 1000.0 > boot_ms * 3.0 + 10_000.0;
+            let place = (l.type_name.clone(), l.zone.clone());
+            let given_up_ms = self.boots.given_up_ms(&place, said_ms(ctx, &l.type_name));
+            let overdue = l.age_s * 1000.0 > given_up_ms as f64;
             match l.status {
                 ListedStatus::Failed => release.push(name.clone()),
                 // Never came up, and is charged until it is returned.
                 ListedStatus::Starting if overdue && !Self::reports(parts, ctx, name) => {
+                    if !self.to_release.contains(name) && !self.releasing.contains(name) {
+                        let kind = ctx.names.type_idx(&l.type_name);
+                        let price = kind.map_or(0.0, |i| ctx.names.price(i, l.spot));
+                        self.vain += price * l.age_s / 3600.0;
+                        let (at, vain) = (&place, self.vain);
+                        ctx.out.log(1, "never_up", || {
+                            format!(
+                                "{name} {} {} after {:.0} s, spent on such {vain:.2}",
+                                at.0, at.1, l.age_s
+                            )
+                        });
+                    }
                     release.push(name.clone());
                 }
                 ListedStatus::Starting => {
@@ -381,13 +409,34 @@
         }
     }
 
+    /// Whether a machine has been booting for so long that nobody counts on it any more.
+    fn late(&self, ctx: &Ctx, b: &Booting) -> bool {
+        let counts_ms = self.boots.counts_ms(&b.place(), said_ms(ctx, &b.type_name));
+        ctx.now >= b.since + counts_ms
+    }
+
+    /// Learns from machines that came up, and notes where they are late.
+    fn see_boots(&mut self, ctx: &Ctx) {
+        let (parts, boots) = (&self.parts, &mut self.boots);
+        self.booting.retain(|n, b| {
+            let up = Self::reports(parts, ctx, n);
+            if up {
+                boots.came_up(&b.place(), ctx.now, ctx.now.saturating_sub(b.since));
+            }
+            !up
+        });
+        let late: Vec<Where> =
+            self.booting.values().filter(|b| self.late(ctx, b)).map(Booting::place).collect();
+        self.boots.set_late(late.into_iter());
+    }
+
     /// What to rent, the most urgent first: each lack takes what is coming up, then what is asked
     /// for in this plan, then asks for more.
     fn wanted(&mut self, ctx: &Ctx) -> Vec<Rent> {
-        let parts = &self.parts;
-        self.booting.retain(|n, _| !Self::reports(parts, ctx, n));
+        self.see_boots(ctx);
+        let counts = |b: &&Booting| !self.late(ctx, b);
         let mut coming: Vec<Coming> =
-            self.booting.values().filter_map(|b| Coming::of(ctx, b)).collect();
+            self.booting.values().filter(counts).filter_map(|b| Coming::of(ctx, b)).collect();
         for (rent, since) in self.rentals.coming() {
             let one = Coming::of(ctx, &Booting::of(rent, since));
             coming.extend(one.into_iter().flat_map(|c| (0..rent.count).map(move |_| c.clone())));
@@ -494,7 +543,10 @@
                         continue;
                     }
                     let used = fits.min(room);
-                    let cost = price / used as f64;
+                    let place = (t.name.clone(), z.clone());
+                    // Elsewhere, if that is not much dearer.
+                    let trouble = if self.boots.in_trouble(&place) { TROUBLED } else { 1.0 };
+                    let cost = price * trouble / used as f64;
                     if best.as_ref().is_none_or(|b| cost < b.0) {
                         let count = room.div_ceil(fits).clamp(1, u64::from(MOST_A_CALL)) as u32;
                         let rent = Rent {
