Who is at fault, a machine or a job: verdicts on evidence that fits only one of them

Change: part/blame.rs: a job that ran well elsewhere speaks against the machine; one that fails on three machines and ran well on none against itself; of strangers it takes three. Doubt (jobs.rs): such a job is tried ever more rarely, in one place at a time, and nothing is bought or stopped for it. And a worker that came back without its token is not sure to heed us alone: confirmed follows its newest report.

--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -297,7 +297,7 @@
         let p = j.placed.remove(e.task)?;
         if let Phase::Exited(Why::Done, _) = e.phase {
             if j.wire.kind != Kind::Service && !j.cancelled {
-                j.errors = 0;
+                j.doubt.ran_well();
                 j.set_done(e.task, now);
                 if j.complete() {
                     self.over.insert(id, now);
@@ -311,11 +311,13 @@
         }
         match e.phase {
             Phase::Exited(Why::Error | Why::Other | Why::Unknown, _) => {
-                j.errors += 1;
-                let wait = 500u64 << j.errors.min(7);
-                j.not_before = now + if j.errors < 3 { 200 } else { wait };
+                if j.wire.kind == Kind::Service && j.placed.running() > 0 {
+                    j.doubt.ran_well();
+                }
+                j.not_before = j.doubt.failed(p.machine, now, j.not_before);
             }
             Phase::Exited(Why::Full | Why::Busy, _) => j.not_before = now + 300,
+            _ if j.doubt.in_doubt() => {}
             _ => j.not_before = j.not_before.min(now),
         }
         j.give_back(e.task);
@@ -436,7 +438,8 @@
         }
         let jobs = self.pending.iter().filter_map(|id| self.jobs.get(id));
         let mut lacking: Vec<(_, &Job)> = jobs
-            .filter(|j| !j.cancelled && j.finishing.is_none() && j.pending() > 0 && j.errors < 4)
+            .filter(|j| !j.cancelled && j.finishing.is_none() && j.pending() > 0)
+            .filter(|j| !j.doubt.in_doubt())
             .map(|j| ((Reverse(j.wire.priority), j.created, j.id), j))
             .collect();
         // (Found at five times a fleet: the first by their names were told, not the first in turn.)
--- a/crates/core/src/coordinator/round.rs
+++ b/crates/core/src/coordinator/round.rs
@@ -31,7 +31,8 @@
             .iter()
             .filter_map(|id| jobs.get(id))
             .filter(|j| j.finishing.is_none() && j.not_before <= now)
-            .filter(|j| j.wire.kind != Kind::Gang || j.placed.is_empty())
+            // Gangs whole, and what is in doubt in one place at a time.
+            .filter(|j| j.placed.is_empty() || (j.wire.kind != Kind::Gang && !j.doubt.in_doubt()))
             .map(|j| {
                 let (late, due) = j.urgency(now);
                 (std::cmp::Reverse(j.wire.priority), late, due, j.created, j.id)
@@ -72,6 +73,9 @@
             let zone_room = j.zone_room(&ctx.names.zones);
             // No job takes the whole round: others may fit where it does not.
             let mut count = j.pending().min(most - total).min(most / 3 + 1);
+            if j.doubt.in_doubt() {
+                count = count.min(1);
+            }
             if j.wire.kind == Kind::Gang {
                 if j.pending() > most - total {
                     continue;
@@ -83,7 +87,8 @@
             }
             total += count;
             items.push((id, count));
-            turns.push(j.make_room.filter(|_| j.wire.priority > user::Priority::Low));
+            let makes_room = j.wire.priority > user::Priority::Low && !j.doubt.in_doubt();
+            turns.push(j.make_room.filter(|_| makes_room));
             wanted.push(Wanted {
                 job: id.0,
                 shape: j.shape.wire.clone(),
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -86,8 +86,10 @@
     pub released: bool,
     /// No offers before this time.
     pub shunned_until: Now,
-    /// Jobs that failed here since something last succeeded.
+    /// Jobs that failed here since anything last ran well, and when each first did.
     pub failed: Vec<(JobId, Now)>,
+    /// They were said to speak against it.
+    pub suspected: bool,
     pub direct: Option<u64>,
     pub direct_after: Now,
     /// The lease ran out by our count; whatever ran there is gone.
@@ -146,6 +148,7 @@
             released: false,
             shunned_until: 0,
             failed: Vec::new(),
+            suspected: false,
             direct: None,
             direct_after: 0,
             lapsed: false,
@@ -193,7 +196,8 @@
         self.heard = now;
         self.addr.clone_from(&r.addr);
         self.spot = r.spot;
-        self.confirmed |= r.token == epoch.0;
+        // Of a worker that came back without its token, older owners' answers count again.
+        self.confirmed = r.token == epoch.0;
         self.notice = r.notice_s.map(|s| now + (s.max(0.0) * 1000.0) as u64);
         for t in self.tasks.values_mut() {
             t.listed = false;
@@ -421,6 +425,22 @@
         }
     }
 
+    /// Tasks of these jobs failed here, and then perhaps something ran well.
+    pub fn note_failures(&mut self, jobs: &[JobId], ran_well: bool, now: Now, forget_ms: u64) {
+        if ran_well {
+            self.failed.clear();
+        }
+        if jobs.is_empty() {
+            return;
+        }
+        self.failed.retain(|f| now < f.1 + forget_ms);
+        for &job in jobs {
+            if !self.failed.iter().any(|f| f.0 == job) {
+                self.failed.push((job, now));
+            }
+        }
+    }
+
     pub fn note_image(&mut self, image: ImageIdx, gb: f64, cache_gb: f64) {
         self.cached.retain(|c| c.0 != image);
         self.cached.push_back((image, gb));
@@ -459,6 +479,29 @@
         assert!(m.lease_over_at(8000, 0) >= first - 10 + 8000, "it may have begun just now");
     }
 
+    /// A machine that lost power for a moment has a worker that knows no token: whoever owned its seat
+    /// before may answer it again, and its lease is counted so.
+    #[test]
+    fn a_worker_that_forgot_our_token_is_not_sure_to_heed_us_alone() {
+        let report = |session, token| Report {
+            machine: "n-000001".into(),
+            addr: String::new(),
+            type_name: "small".into(),
+            zone: "a".into(),
+            spot: false,
+            session,
+            seq: 1,
+            token,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        let mut m = Machine::new(0);
+        m.apply(&report(1, 5), Epoch(5), true, 1000);
+        assert!(m.confirmed);
+        m.apply(&report(2, 0), Epoch(5), true, 2000);
+        assert!(!m.confirmed && m.lease_over_at(8000, 40_000) > 48_000);
+    }
+
     /// Guards a cancelled job's task against an owner whose lease is in doubt.
     #[test]
     fn in_doubt_nothing_is_started_and_stops_go_on() {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -13,6 +13,14 @@
 /// A service asked for in vain for so long may stand in the way of GPU work.
 const LONG_REFUSED_MS: u64 = 9000;
 
+/// A job that fails on so many machines and runs well on none is at fault itself.
+const FAILS_ITSELF: usize = 3;
+/// After a failure that says nothing of the job.
+const FAILED_AGAIN_MS: u64 = 200;
+/// Before the second try of a job in doubt, doubled for each further one, and at most.
+const RARELY_MS: u64 = 1000;
+const RAREST_MS: u64 = 60_000;
+
 /// A task's completion: task, attempt, machine, round.
 pub type DoneOn = (u32, Attempt, MachineIdx, u64);
 
@@ -39,8 +47,8 @@
     pub make_room: Option<u32>,
     /// A gang that waits does so for this zone.
     pub target: Option<ZoneIdx>,
-    /// Failures in a row without a completion in between.
-    pub errors: u32,
+    /// Failures since anything of it last ran well.
+    pub doubt: Doubt,
     /// Durable and told: no task of it may start any more.
     pub cancelled: bool,
     pub dirty: BTreeSet<u32>,
@@ -56,6 +64,45 @@
     pub cancel_reqs: Vec<u64>,
 }
 
+/// Whether a job fails by itself, wherever it is tried.
+///
+/// One failure, or many on the same machine, say nothing of the job: it is tried elsewhere at once.
+/// Once it has failed on several machines and run well on none, it is tried ever more rarely, and in
+/// one place at a time, until it runs well or its user cancels it. (Of one job in 25 each start
+/// fails: tried at once on all machines, an array of hundreds takes fetches, starts and changes from
+/// the others for as long as its user waits.)
+#[derive(Clone, Debug, Default)]
+pub struct Doubt {
+    failed_on: BTreeSet<MachineIdx>,
+    tries: u32,
+}
+
+impl Doubt {
+    /// A task failed on this machine; returns how long to wait before the next try, given when the
+    /// last wait ends. What was started together fails together, and counts as one try.
+    pub fn failed(&mut self, m: MachineIdx, now: Now, not_before: Now) -> Now {
+        if self.failed_on.len() < FAILS_ITSELF {
+            self.failed_on.insert(m);
+        }
+        if !self.in_doubt() {
+            return now + FAILED_AGAIN_MS;
+        }
+        if now >= not_before {
+            self.tries += 1;
+        }
+        not_before.max(now + (RARELY_MS << self.tries.min(8)).min(RAREST_MS))
+    }
+
+    pub fn ran_well(&mut self) {
+        *self = Doubt::default();
+    }
+
+    /// It fails wherever it is tried, as far as is known.
+    pub fn in_doubt(&self) -> bool {
+        self.failed_on.len() >= FAILS_ITSELF
+    }
+}
+
 /// What users see of a job that is over.
 pub fn job_state(id: JobId, f: (Status, u32)) -> JobState {
     JobState { id: user::job_id(id.0), status: f.0, done: f.1, running: 0 }
@@ -147,7 +194,7 @@
             next_try: 0,
             make_room: None,
             target: None,
-            errors: 0,
+            doubt: Doubt::default(),
             cancelled: false,
             dirty: BTreeSet::new(),
             dirty_since: None,
@@ -419,6 +466,26 @@
         assert_eq!(j.not_before, now + 5000, "after failures it waits all the same");
     }
 
+    #[test]
+    fn a_job_that_fails_everywhere_is_tried_rarely_and_one_that_met_a_bad_machine_is_not() {
+        let mut d = Doubt::default();
+        let at = |d: &mut Doubt, m, now, before| d.failed(MachineIdx(m), now, before);
+        for _ in 0..50 {
+            assert_eq!(at(&mut d, 1, 1000, 0), 1200, "all on one machine");
+        }
+        at(&mut d, 2, 1000, 0);
+        let first = at(&mut d, 3, 1000, 0);
+        assert!(d.in_doubt() && first > 2000);
+        assert_eq!(at(&mut d, 4, 1001, first), first.max(1001 + 2000), "one try, one wait");
+        let (mut now, mut tries) = (first, 0);
+        while now < 600_000 {
+            (now, tries) = (at(&mut d, 5, now, now), tries + 1);
+        }
+        assert!((10..20).contains(&tries), "{tries} tries in ten minutes, and never given up");
+        d.ran_well();
+        assert_eq!(at(&mut d, 1, now, now), now + 200);
+    }
+
     #[test]
     fn a_job_of_one_zone_that_may_be_in_two_gets_no_more_tasks() {
         use crate::ids::Seat;
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -11,6 +11,7 @@
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
+mod blame;
 mod claims;
 mod figures;
 mod line;
@@ -21,6 +22,7 @@
 #[cfg(test)]
 mod tests;
 
+use blame::Blame;
 use claims::Claims;
 use line::InLine;
 use offer::Rank;
@@ -29,7 +31,10 @@
 
 /// Answers to a report name at most this many commands.
 const ORDERS: usize = 150;
+/// A failure speaks against a machine for so long.
 const SHUN_MS: u64 = 60_000;
+/// What stays for long runs well once it has run for so long.
+const RAN_WELL_MS: u64 = 30_000;
 /// A seat is told of free room no more often than this.
 const TELL_MS: u64 = 800;
 /// So much earlier than the others those with the most important work are told.
@@ -70,6 +75,7 @@
     showcase: Showcase,
     holds: BTreeMap<MachineIdx, Vec<Hold>>,
     claims: Claims,
+    blame: Blame,
     /// Of the machines that are not `dirty`; `reindex` brings it up to date.
     stock: Stock,
     asked_at: Now,
@@ -137,6 +143,7 @@
             showcase: Showcase::default(),
             holds: BTreeMap::new(),
             claims: Claims::default(),
+            blame: Blame::default(),
             stock: Stock::default(),
             asked_at: now,
             coordinators: vec![Epoch(0); seats],
@@ -250,31 +257,25 @@
         let cache = kind.map_or(0.0, |k| ctx.names.catalog[k.0 as usize].cache_gb);
         let mut images = Vec::new();
         let mut freed = !known && m.confirmed;
+        // Jobs of which tasks failed here, and of which some ran well.
+        let (mut failed, mut ran_well) = (Vec::new(), Vec::new());
         for (k, t) in &m.tasks {
             if let (Some(s), Phase::On(TaskState::Running | TaskState::Waiting)) =
                 (&t.shape, t.phase)
             {
                 images.push((s.image, s.wire.image_gb));
+                if s.lasting() && t.on_since.is_some_and(|at| now >= at + RAN_WELL_MS) {
+                    ran_well.push(k.0);
+                }
             }
             if before.binary_search(k).is_ok() {
                 continue;
             }
             freed |= t.over();
             match t.phase {
-                Phase::Exited(Why::Error | Why::Other, _) => {
-                    if !m.failed.iter().any(|f| f.0 == k.0) {
-                        m.failed.push((k.0, now));
-                    }
-                    // Tasks of several jobs fail here: it is the machine.
-                    if m.failed.len() >= 2 {
-                        m.shunned_until = now + SHUN_MS;
-                        let n = ctx.names.machine_name(idx).to_string();
-                        ctx.out.log(1, "machine_suspected", || n);
-                    }
-                }
+                Phase::Exited(Why::Error | Why::Other, _) => failed.push(k.0),
                 Phase::Exited(Why::Done, _) => {
-                    m.failed.clear();
-                    m.shunned_until = 0;
+                    ran_well.push(k.0);
                     if let Some(s) = &t.shape {
                         images.push((s.image, s.wire.image_gb));
                     }
@@ -283,6 +284,7 @@
                 _ => {}
             }
         }
+        m.note_failures(&failed, !ran_well.is_empty(), now, SHUN_MS);
         images.dedup_by_key(|i| i.0);
         for (image, gb) in images {
             m.note_image(image, gb, cache);
@@ -300,12 +302,39 @@
             m.recount();
         }
         let over_at = m.lease_over_at(ctx.cfg.worker_lease_ms, older);
+        self.weigh(ctx, idx, &failed, &ran_well);
         self.stop_over(idx, now);
         self.look_at(idx, over_at);
         self.freed |= freed;
         self.dirty.insert(idx);
     }
 
+    /// Takes what failed and what ran well on a machine as evidence for and against it.
+    fn weigh(&mut self, ctx: &mut Ctx, idx: MachineIdx, failed: &[JobId], ran_well: &[JobId]) {
+        for &job in failed {
+            self.blame.failed(job, idx, ctx.now);
+        }
+        for &job in ran_well {
+            self.blame.ran_well(job, ctx.now);
+        }
+        let suspected = self.suspected(idx, ctx.now);
+        let Some(m) = self.machines.get_mut(&idx) else { return };
+        if suspected && !m.suspected {
+            let n = ctx.names.machine_name(idx).to_string();
+            ctx.out.log(1, "machine_suspected", || n);
+        }
+        m.suspected = suspected;
+    }
+
+    /// Whether what failed there lately speaks against the machine, by all that is known now.
+    fn suspected(&self, idx: MachineIdx, now: Now) -> bool {
+        let m = self.machines.get(&idx).filter(|m| !m.failed.is_empty());
+        m.is_some_and(|m| {
+            let lately = m.failed.iter().filter(|f| now < f.1 + SHUN_MS);
+            self.blame.suspects(lately.map(|f| f.0))
+        })
+    }
+
     pub fn direct_outcome(
         &mut self,
         ctx: &mut Ctx,
@@ -619,6 +648,7 @@
         // Holds end by decision. If none came, it got lost: ask for it.
         if now >= self.asked_at + 2000 {
             self.asked_at = now;
+            self.blame.expire(now);
             let open: BTreeSet<(u8, u64)> =
                 self.holds.values().flatten().map(|h| (h.seat.0, h.negotiation.0)).collect();
             for (seat, negotiation) in open {
--- a/crates/core/src/part/offer.rs
+++ b/crates/core/src/part/offer.rs
@@ -111,6 +111,7 @@
             && m.confirmed
             && m.notice.is_none()
             && m.shunned_until <= now
+            && !self.suspected(idx, now)
             && now < m.heard + ctx.cfg.quiet_ms
             && !m.failed.iter().any(|f| f.0 .0 == w.job && f.1 + SHUN_MS > now);
         // Cheap work does not keep a machine that is dear for it, unless that is paid anyway:
