--- a/crates/testkit/src/sim.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -2,16 +2,17 @@
 //! outages. Time is simulated; the same seed gives the same run.
 use crate::rules::Rules;
 use crate::script::{Fault, Marks};
+use crate::served::Share;
 use crate::state::{Broken, State};
 use crate::tally::Tally;
 use crate::worker::{Done, Worker};
-use leaddeal_core::ids::{seat_of_job, JobId};
+use leaddeal_core::ids::{seat_of_job, JobId, Seat};
 use leaddeal_core::io::{
     CloudCall, CloudResult, DirectOutcome, Input, Output, StoreCall, StoreResult, WorkerReply,
 };
 use leaddeal_core::{keys, Node};
 use leaddeal_wire::cloud::{Catalog, Listed, ListedStatus, Listing, MachineType, Rent};
-use leaddeal_wire::settings::Settings;
+use leaddeal_wire::settings::{Settings, Team};
 use leaddeal_wire::state::{Change, Txn};
 use leaddeal_wire::user::{parse_job_id, Job, Kind, Priority, Status};
 use leaddeal_wire::worker::{Answer, Report, TaskState};
@@ -20,6 +21,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
+mod faults;
+mod network;
+mod users;
+
 pub const NODES: usize = 3;
 /// Time of the beginning.
 pub const BEGIN: u64 = 10_000;
@@ -43,6 +48,8 @@
     /// The state service forgets decisions, as if they were folded away before what became of
     /// them is durable.
     LostDecisions,
+    /// Nobody who asks about a job of one seat gets an answer.
+    Mute,
     /// Requests for machines are named without the epoch, so that a new buyer uses old names.
     NameTwice,
 }
@@ -70,6 +77,8 @@
     pub store: Option<f64>,
     /// A controller that ended is started again within a second at the most, each time.
     pub quick: bool,
+    /// So many seconds without any trouble follow those of the plan.
+    pub calm: u64,
 }
 
 impl Plan {
@@ -89,6 +98,7 @@
             open: 0,
             store: None,
             quick: false,
+            calm: 0,
         }
     }
 
@@ -133,6 +143,8 @@
     Restart(usize),
     Fault,
     Scripted(Fault),
+    Calm,
+    Known,
     UserNext,
     Poll(String),
     Cancel(String),
@@ -161,6 +173,10 @@
     /// A node without processor time until then: what comes for it waits.
     stalled: Vec<u64>,
     apart_until: u64,
+    /// By controller: until when it is cut from workers, and from all but workers and users.
+    shut: Vec<u64>,
+    lone: Vec<u64>,
+    polls_until: u64,
     slow_store: (u64, u64),
     zone_cut: (&'static str, u64),
     pub marks: Marks,
@@ -172,6 +188,8 @@
     workers: BTreeMap<String, Worker>,
     /// By the request's name: what was asked for and given.
     rented: HashMap<String, (Rent, Vec<String>)>,
+    /// Machines that were rented and have not come up, since when.
+    starting: BTreeMap<String, (Rent, u64)>,
     next_machine: u64,
     spare: u32,
     reqs: HashMap<(usize, u64, u64), Req>,
@@ -246,6 +264,9 @@
             blind: vec![false; NODES],
             stalled: vec![0; NODES],
             apart_until: 0,
+            shut: vec![0; NODES],
+            lone: vec![0; NODES],
+            polls_until: 0,
             slow_store: (0, 0),
             zone_cut: ("", 0),
             marks: Marks::default(),
@@ -259,6 +280,7 @@
             }),
             workers: BTreeMap::new(),
             rented: HashMap::new(),
+            starting: BTreeMap::new(),
             next_machine: 0,
             spare: 6 * plan.scale,
             reqs: HashMap::new(),
@@ -287,58 +309,10 @@
         if s.plan.faults {
             s.at(8000, Ev::Fault);
         }
-        s
-    }
-
-    /// Puts jobs into the store as controllers before these would have left them.
-    fn preload(&mut self) {
-        if self.plan.open + self.plan.closed == 0 {
-            return;
-        }
-        self.state.page = 300;
-        let put = |state: &mut State, key: String, value| {
-            let change = Change::Put { key, value, lease: None };
-            state.call(0, &StoreCall::Txn(Txn { conds: Vec::new(), changes: vec![change] }));
-        };
-        for n in 0..self.plan.closed {
-            let id = JobId(900_000 + n);
-            let key = keys::final_key(seat_of_job(id, NODES), id);
-            put(&mut self.state, key, keys::final_value(Status::Done, 1));
-        }
-        for n in 0..self.plan.open {
-            let id = JobId(800_000 + n);
-            let job = Job { id: leaddeal_wire::user::job_id(id.0), ..self.waiting_job() };
-            let value = serde_json::json!({"job": job, "at": self.now});
-            put(&mut self.state, keys::job_key(seat_of_job(id, NODES), id), value);
-            self.rules.accepted.insert(job.id.clone());
-            self.rules.jobs.insert(job.id.clone(), job);
-        }
-    }
-
-    /// Of a type that nobody rents: it is there, and stays there.
-    fn waiting_job(&self) -> Job {
-        Job {
-            id: String::new(),
-            class: "x".into(),
-            team: "free".into(),
-            kind: Kind::Array,
-            priority: Priority::Low,
-            tasks: 3,
-            cpus: 1.0,
-            gpus: 0.0,
-            memory_gb: 1.0,
-            image: "i-0".into(),
-            image_gb: 1.0,
-            types: Some(vec!["none".into()]),
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            estimate_s: 5.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
+        if s.plan.calm > 0 {
+            s.at(s.plan.seconds * 1000, Ev::Calm);
         }
+        s
     }
 
     /// Tasks of services that run somewhere and are wanted.
@@ -355,87 +329,26 @@
             .collect()
     }
 
+    /// Who is under half served, of the jobs asked for until the troubles ended. What a team's limit
+    /// holds back had no room.
+    pub fn under_half(&self) -> Vec<Share> {
+        let unlimited = |t: &&Team| t.cpus_max == 0.0;
+        let free = self.rules.teams.iter().filter(unlimited).map(|t| t.name.as_str()).collect();
+        let shares = self.rules.served.shares(BEGIN + self.plan.seconds * 1000, &free);
+        shares.into_iter().filter(Share::under_half).collect()
+    }
+
     /// Whether its user still wants the task's job.
     pub fn wanted(&self, task: &str) -> bool {
         !self.rules.cancel_asked.contains(task.split('/').next().unwrap_or_default())
     }
 
-    /// How long after its last task was done a job's final state was written.
-    fn note_finals(&mut self, t: &Txn) {
-        for c in &t.changes {
-            let Change::Put { key, value, .. } = c else { continue };
-            let Some(id) = keys::job_of_key(key).filter(|_| key.starts_with("f/")) else {
-                continue;
-            };
-            let job = leaddeal_wire::user::job_id(id.0);
-            if let (Some((Status::Done, _)), Some(at)) =
-                (keys::parse_final(value), self.done.last(&job))
-            {
-                self.marks.finals.push((self.now, self.now.saturating_sub(at)));
-            }
-        }
-    }
-
     /// What the state service was asked for: changes taken, transactions refused, keys under a
     /// prefix.
     pub fn store(&self, prefix: &str) -> (u64, u64, usize) {
         (self.state.changes, self.state.refused, self.state.count(prefix))
     }
 
-    fn scripted(&mut self, f: Fault) {
-        match f {
-            Fault::Crash { nodes, back_ms } => {
-                for n in nodes {
-                    if self.nodes[n].take().is_some() {
-                        self.at(back_ms, Ev::Restart(n));
-                    }
-                }
-            }
-            Fault::Die { machines } => {
-                for w in self.workers.values_mut().filter(|w| !w.gone).take(machines) {
-                    w.gone = true;
-                    w.tasks.clear();
-                }
-            }
-            Fault::Hang { machines, ms } => {
-                for w in self.workers.values_mut().filter(|w| !w.gone).rev().take(machines) {
-                    w.hang_until = self.now + ms;
-                }
-            }
-            Fault::Freeze { node, ms } => self.stalled[node] = self.now + ms,
-            Fault::Apart { ms } => self.apart_until = self.now + ms,
-            Fault::Outage { ms } => self.outage_until = self.now + ms,
-            Fault::SlowStore { ms, by_ms } => self.slow_store = (self.now + ms, by_ms),
-            Fault::CutZone { zone, ms } => self.zone_cut = (zone, self.now + ms),
-        }
-    }
-
-    /// So long what goes between controllers and that machine is held back.
-    fn held_back(&self, machine: &str) -> u64 {
-        let (zone, until) = self.zone_cut;
-        let inside = self.workers.get(machine).is_some_and(|w| w.zone == zone);
-        if inside {
-            until.saturating_sub(self.now)
-        } else {
-            0
-        }
-    }
-
-    fn machine_name(&mut self) -> String {
-        self.next_machine += 1;
-        format!("n-{:06}", self.next_machine)
-    }
-
-    fn boot_machine(&mut self, name: &str, kind: &str, zone: &str, spot: bool) {
-        let mut w = Worker::new(name, kind, zone, spot, self.now, 8000);
-        if let Some(t) = types(self.plan.scale).iter().find(|t| t.name == kind) {
-            w.cpus = t.cpus;
-        }
-        w.node = self.rng.random_range(0..NODES);
-        self.workers.insert(name.into(), w);
-        self.at(10, Ev::Worker(name.into()));
-    }
-
     fn at(&mut self, delay: u64, e: Ev) {
         self.order += 1;
         self.queue.push(Reverse((self.now + delay, self.order)));
@@ -461,27 +374,10 @@
         self.now + self.rng.random_range(0..2 * WALL_OFF) - WALL_OFF
     }
 
-    /// How long an ended controller stays away.
-    fn back_ms(&mut self) -> u64 {
-        match self.plan.quick || self.rng.random_bool(0.3) {
-            true => self.rng.random_range(QUICK),
-            false => self.rng.random_range(2000..8000),
-        }
-    }
-
     fn alive(&self, n: usize, boot: u64) -> bool {
         self.nodes[n].is_some() && self.boots[n].1 == boot
     }
 
-    fn lag(&mut self) -> u64 {
-        match self.rng.random_range(0..100) {
-            0..90 => self.rng.random_range(1..6),
-            90..99 => self.rng.random_range(5..60),
-            _ if self.plan.faults => self.rng.random_range(60..900),
-            _ => 20,
-        }
-    }
-
     fn step(&mut self, n: usize, input: Input) -> Result<(), String> {
         // Steady clocks drift apart by up to 0.05%.
         let ran = self.now - self.boots[n].0;
@@ -502,230 +398,6 @@
         Ok(())
     }
 
-    fn output(&mut self, n: usize, o: Output) -> Result<(), String> {
-        let boot = self.boots[n].1;
-        let lag = self.lag();
-        match o {
-            Output::User { req, reply } => {
-                let Some(r) = self.reqs.remove(&(n, boot, req)) else { return Ok(()) };
-                let (Req::Submit(id) | Req::Poll(id) | Req::Cancel(id)) = &r else {
-                    return Ok(());
-                };
-                let state = reply.state.as_ref();
-                let ok = state.is_some();
-                // A user waits for one answer at a time; an older one finds nobody.
-                if self.latest.get(id) != Some(&req) {
-                    if let Req::Cancel(id) = r {
-                        self.at(1500, Ev::Cancel(id));
-                    }
-                    return Ok(());
-                }
-                // The answer may be lost on its way to the user.
-                if !(self.plan.faults && self.rng.random_range(0..50) == 0) {
-                    self.rules.answer(self.now, id, reply.status, state, &self.done)?;
-                }
-                if let (Req::Cancel(id), false) = (r, ok) {
-                    self.at(1500, Ev::Cancel(id));
-                }
-            }
-            Output::Worker { req, reply } => {
-                if let Some(Req::Report(m, sent, session)) = self.reqs.remove(&(n, boot, req)) {
-                    let reply = (!self.cut[n]).then_some(reply);
-                    self.at(lag, Ev::Answered(m, sent, session, reply));
-                }
-            }
-            Output::Mesh { to, msg } => {
-                let to: usize = to[2..].parse().map_err(|_| "bad node name".to_string())?;
-                let from = format!("n-{n}");
-                let lost = self.cut[n] || self.cut[to] || self.now < self.apart_until;
-                if !lost && self.nodes[to].is_some() {
-                    // A connection keeps its order.
-                    let t = (self.now + lag).max(*self.links.get(&(n, to)).unwrap_or(&0));
-                    self.links.insert((n, to), t);
-                    let b = self.boots[to].1;
-                    let input = Input::Mesh { from, msg: Box::new(msg) };
-                    self.at(t - self.now, Ev::In(to, b, input));
-                }
-            }
-            Output::Store { op, call } => {
-                if let (true, StoreCall::Txn(t)) = (self.trace, &call) {
-                    if t.changes.len() < 9 {
-                        eprintln!("{} n-{n} txn {t:?}", self.now);
-                    }
-                }
-                self.send_to_store(n, op, lag, call);
-            }
-            Output::Cloud { op, call } => {
-                let result = if self.cut[n] { CloudResult::Refused } else { self.cloud(call)? };
-                self.at(80 + lag, Ev::In(n, boot, Input::Cloud { op, result }));
-            }
-            Output::Orders { machine, batch, direct, .. } => {
-                if self.trace {
-                    eprintln!("{} n-{n} direct {machine} {:?}", self.now, direct.orders);
-                }
-                // Now and then the answer is lost, or the packets are held back for long.
-                let (lose, held) = match self.rng.random_range(0..30) {
-                    0 if self.plan.faults => (true, self.rng.random_range(0..20_000)),
-                    _ => (false, 0),
-                };
-                if lose {
-                    let m = machine.clone();
-                    let outcome = DirectOutcome::Unknown;
-                    let input = Input::Orders { machine: m, batch, outcome };
-                    self.at(2500, Ev::In(n, boot, input));
-                }
-                self.at(lag + held, Ev::Direct(n, boot, machine, batch, direct, lose));
-            }
-            Output::Log(_, event, what) => {
-                if event == "seat_loaded" {
-                    self.marks.loaded.push((self.now, n));
-                }
-                if self.trace {
-                    eprintln!("{} n-{n} {event} {what}", self.now);
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// What a controller asks of the state service is on its way.
-    fn send_to_store(&mut self, n: usize, op: u64, lag: u64, call: StoreCall) {
-        let boot = self.boots[n].1;
-        match call {
-            StoreCall::Watch { prefix, after, wait_ms } => {
-                let until = self.now + wait_ms;
-                self.at(lag, Ev::Watch(n, boot, op, prefix, after, until));
-            }
-            // Executed late, after whoever sent it gave it up or ended.
-            StoreCall::Txn(t) if self.plan.faults && self.rng.random_range(0..150) == 0 => {
-                let result = StoreResult::Unknown;
-                self.at(2000, Ev::In(n, boot, Input::Store { op, result }));
-                let held = self.rng.random_range(2000..25_000);
-                self.at(held, Ev::Store(n, boot, 0, StoreCall::Txn(t)));
-            }
-            call => self.at(lag, Ev::Store(n, boot, op, call)),
-        }
-    }
-
-    fn cloud(&mut self, call: CloudCall) -> Result<CloudResult, String> {
-        Ok(match call {
-            CloudCall::Catalog => CloudResult::Catalog(Catalog { types: types(self.plan.scale) }),
-            CloudCall::Rent(mut r) => {
-                if self.plan.sabotage == Sabotage::NameTwice {
-                    r.request = r.request.rsplit('-').next().unwrap_or_default().to_string();
-                }
-                // Asked again for the same, it answers the same; for something else, the name is
-                // used twice, and whoever asked gets machines that it did not ask for.
-                if let Some((first, names)) = self.rented.get(&r.request) {
-                    if *first != r {
-                        return Err(format!("name_reused: {} for {first:?} and {r:?}", r.request));
-                    }
-                    return Ok(CloudResult::Rented(names.clone()));
-                }
-                if self.spare == 0 {
-                    return Ok(CloudResult::NoCapacity);
-                }
-                self.spare -= 1;
-                let name = self.machine_name();
-                self.rented.insert(r.request.clone(), (r.clone(), vec![name.clone()]));
-                let up = format!("{name} {} {} {}", r.zone, r.spot, r.type_name);
-                self.at(5000, Ev::Up(up));
-                CloudResult::Rented(vec![name])
-            }
-            CloudCall::Release(names) => {
-                for n in names {
-                    if let Some(w) = self.workers.get_mut(&n) {
-                        self.spare += u32::from(!w.gone);
-                        w.gone = true;
-                        w.tasks.clear();
-                    }
-                }
-                CloudResult::Released
-            }
-            CloudCall::List { .. } => CloudResult::Listing(Listing {
-                machines: self
-                    .workers
-                    .values()
-                    .filter(|w| !w.gone)
-                    .map(|w| Listed {
-                        id: w.name.clone(),
-                        addr: None,
-                        type_name: w.type_name.clone(),
-                        zone: w.zone.clone(),
-                        spot: w.spot,
-                        status: ListedStatus::Running,
-                        age_s: 30.0,
-                    })
-                    .collect(),
-                more: false,
-            }),
-        })
-    }
-
-    fn random_job(&mut self) -> Job {
-        self.next_job += 1;
-        let kind =
-            [Kind::Array, Kind::Array, Kind::Gang, Kind::Service][self.rng.random_range(0..4)];
-        let tasks = match kind {
-            Kind::Array => self.rng.random_range(1..self.plan.array),
-            Kind::Gang => 1,
-            Kind::Service => self.rng.random_range(1..4),
-        };
-        let gpu_work = kind == Kind::Gang && self.plan.scale > 1;
-        let spread = kind == Kind::Service;
-        Job {
-            id: leaddeal_wire::user::job_id(self.next_job * 7),
-            class: "x".into(),
-            team: if self.rng.random_bool(0.4) { "tight" } else { "free" }.into(),
-            kind,
-            priority: [Priority::Low, Priority::Normal, Priority::High, Priority::Production]
-                [self.rng.random_range(0..4)],
-            tasks,
-            cpus: f64::from(self.rng.random_range(1..3)) * if gpu_work { 4.0 } else { 1.0 },
-            gpus: if gpu_work { 2.0 } else { 0.0 },
-            memory_gb: 1.0,
-            image: format!("i-{}", self.rng.random_range(0..3)),
-            image_gb: 1.0,
-            types: None,
-            zone: self.rng.random_bool(0.1).then(|| "b".to_string()),
-            one_zone: !spread && self.rng.random_bool(0.3),
-            spread,
-            spot: kind != Kind::Service,
-            estimate_s: f64::from(self.rng.random_range(1..9)),
-            checkpoint_s: if self.rng.random_bool(0.3) { 3.0 } else { 0.0 },
-            save_s: 1.0,
-            deadline_s: None,
-        }
-    }
-
-    fn ask(&mut self, req: Req, make: impl FnOnce(u64) -> Input) -> Result<(), String> {
-        let up: Vec<usize> = (0..NODES)
-            .filter(|&n| self.nodes[n].is_some() && !self.cut[n] && self.now >= self.stalled[n])
-            .collect();
-        if up.is_empty() {
-            match req {
-                Req::Cancel(id) => self.at(2000, Ev::Cancel(id)),
-                Req::Submit(_) | Req::Poll(_) | Req::Report(..) => {}
-            }
-            return Ok(());
-        }
-        let n = up[self.rng.random_range(0..up.len())];
-        self.next_req += 1;
-        let id = self.next_req;
-        if let Req::Submit(job) | Req::Poll(job) | Req::Cancel(job) = &req {
-            self.latest.insert(job.clone(), id);
-        }
-        self.reqs.insert((n, self.boots[n].1, id), req);
-        self.step(n, make(id))
-    }
-
-    fn submit(&mut self, j: &Job) -> Result<(), String> {
-        let id = j.id.clone();
-        let num = parse_job_id(&id).map(JobId);
-        let job = Ok(Box::new(j.clone()));
-        self.ask(Req::Submit(id), |req| Input::Submit { req, id: num, job })
-    }
-
     fn handle(&mut self, e: Ev) -> Result<(), String> {
         match e {
             Ev::Tick(n, boot) => {
@@ -741,8 +413,9 @@
             }
             Ev::Store(n, boot, op, call) => {
                 let refused = self.blind[n] || self.now < self.outage_until;
-                let mut result = if refused || self.cut[n] {
-                    if self.cut[n] {
+                let cut = self.cut[n] || self.now < self.lone[n];
+                let mut result = if refused || cut {
+                    if cut {
                         StoreResult::Unknown
                     } else {
                         StoreResult::Refused
@@ -768,7 +441,8 @@
                 if !self.alive(n, boot) {
                     return Ok(());
                 }
-                let shut = self.blind[n] || self.now < self.outage_until || self.cut[n];
+                let cut = self.cut[n] || self.now < self.lone[n];
+                let shut = self.blind[n] || self.now < self.outage_until || cut;
                 if !shut {
                     self.state.expire(self.now);
                 }
@@ -788,7 +462,7 @@
                     self.at(held, Ev::Report(n, m, sent, r));
                     return Ok(());
                 }
-                if self.nodes[n].is_some() && !self.cut[n] {
+                if self.nodes[n].is_some() && !self.cut[n] && self.now >= self.shut[n] {
                     self.next_req += 1;
                     let req = self.next_req;
                     let session = r.session;
@@ -809,11 +483,30 @@
                     self.at(held, Ev::Direct(n, boot, m, batch, d, true));
                     return Ok(());
                 }
+                if self.now < self.shut[n] && !lost {
+                    let outcome = DirectOutcome::NotSent;
+                    let input = Input::Orders { machine: m, batch, outcome };
+                    self.at(800, Ev::In(n, boot, input));
+                    return Ok(());
+                }
                 let jobs = &self.rules.jobs;
                 let Some(w) = self.workers.get_mut(&m) else { return Ok(()) };
                 if w.gone {
                     return Ok(());
                 }
+                // It may still come, later than whoever sent it waits.
+                if self.now < w.deaf_until {
+                    let later = w.deaf_until - self.now + 1;
+                    if !lost {
+                        let outcome = DirectOutcome::Unknown;
+                        let input = Input::Orders { machine: m.clone(), batch, outcome };
+                        self.at(2500, Ev::In(n, boot, input));
+                    }
+                    if self.rng.random_bool(0.5) {
+                        self.at(later, Ev::Direct(n, boot, m, batch, d, true));
+                    }
+                    return Ok(());
+                }
                 if self.now < w.hang_until {
                     let later = w.hang_until - self.now + 1;
                     if !lost {
@@ -850,16 +543,29 @@
                 if let (Some(name), Some(zone), Some(spot), Some(kind)) =
                     (p.next(), p.next(), p.next(), p.next())
                 {
+                    if self.starting.remove(name).is_none() {
+                        return Ok(());
+                    }
                     self.boot_machine(name, kind, zone, spot == "true");
                 }
             }
             Ev::Restart(n) => self.start(n),
             Ev::Fault => self.fault(),
             Ev::Scripted(f) => self.scripted(f),
+            Ev::Calm => self.calm(),
+            Ev::Known => {
+                self.at(1000, Ev::Known);
+                self.rules.known(self.now)?;
+            }
             Ev::UserNext => {
                 let j = self.random_job();
                 self.rules.jobs.insert(j.id.clone(), j.clone());
-                if self.rng.random_bool(0.15) || j.kind == Kind::Service {
+                self.rules.served.asks(&j, self.now);
+                if self.plan.faults && j.kind != Kind::Service && self.rng.random_bool(0.04) {
+                    self.done.mistaken.insert(j.id.clone());
+                    let wait = self.rng.random_range(20_000..60_000);
+                    self.at(wait, Ev::Cancel(j.id.clone()));
+                } else if self.rng.random_bool(0.15) || j.kind == Kind::Service {
                     let wait = self.rng.random_range(3000..40_000);
                     self.at(wait, Ev::Cancel(j.id.clone()));
                 }
@@ -869,7 +575,8 @@
                 self.at(wait / u64::from(self.plan.rate), Ev::UserNext);
             }
             Ev::Poll(id) => {
-                self.at(4000, Ev::Poll(id.clone()));
+                let often = self.now < self.polls_until;
+                self.at(if often { 500 } else { 4000 }, Ev::Poll(id.clone()));
                 let j = self.rules.jobs[&id].clone();
                 // A retry may come at any later time, even when the job is over.
                 if !self.rules.accepted.contains(&id) || self.rng.random_range(0..20) == 0 {
@@ -884,6 +591,7 @@
                     return Ok(());
                 }
                 self.rules.cancel_asked.insert(id.clone());
+                self.rules.served.gives_up(&id);
                 let num = JobId(parse_job_id(&id).unwrap_or(0));
                 self.ask(Req::Cancel(id), |req| Input::Cancel { req, id: num })?;
             }
@@ -891,114 +599,6 @@
         Ok(())
     }
 
-    fn worker(&mut self, m: &str) -> Result<(), String> {
-        let Some(w) = self.workers.get_mut(m) else { return Ok(()) };
-        if w.gone {
-            return Ok(());
-        }
-        if self.now < w.hang_until {
-            let wait = w.hang_until - self.now + 1;
-            self.at(wait, Ev::Worker(m.into()));
-            return Ok(());
-        }
-        w.advance(self.now, &mut self.done, &self.rules.jobs);
-        if w.in_flight.is_some_and(|s| self.now > s + 4000) {
-            w.in_flight = None;
-            w.node = (w.node + 1) % NODES;
-            w.next_report = self.now + 1000;
-        }
-        if w.in_flight.is_none() && (self.now >= w.next_report || w.changed) {
-            w.in_flight = Some(self.now);
-            w.changed = false;
-            let r = w.report();
-            let n = w.node;
-            let lag = self.lag();
-            // Reports, too, may be held back for long.
-            let late = self.plan.faults && self.rng.random_range(0..200) == 0;
-            let held = if late { self.rng.random_range(3000..30_000) } else { 0 };
-            let sent = self.now;
-            self.at(lag + held, Ev::Report(n, m.into(), sent, r));
-        }
-        self.at(500, Ev::Worker(m.into()));
-        Ok(())
-    }
-
-    fn answered(&mut self, m: &str, sent: u64, session: u64, reply: Option<WorkerReply>) {
-        if self.held_back(m) > 0 {
-            return;
-        }
-        let now = self.now;
-        let Some(w) = self.workers.get_mut(m) else { return };
-        if w.gone || now < w.hang_until || w.in_flight != Some(sent) {
-            return;
-        }
-        let Some(reply) = reply else { return };
-        w.in_flight = None;
-        w.next_report = now + 1500;
-        match reply {
-            WorkerReply::Answer(Answer { token, orders }) => {
-                w.advance(now, &mut self.done, &self.rules.jobs);
-                if token < w.token || session != w.session {
-                    return;
-                }
-                w.changed |= token > w.token;
-                w.token = token;
-                w.granted = w.granted.max(sent);
-                w.execute(now, &orders, &self.rules.jobs);
-                w.advance(now, &mut self.done, &self.rules.jobs);
-            }
-            WorkerReply::Redirect(Some(to)) => {
-                w.node = to[2..].parse().unwrap_or(0);
-                w.next_report = now + 100;
-            }
-            WorkerReply::Redirect(None) | WorkerReply::Unavailable => {
-                w.node = (w.node + 1) % NODES;
-                w.next_report = now + 1000;
-            }
-        }
-    }
-
-    fn fault(&mut self) {
-        let wait = self.rng.random_range(3000..15_000);
-        self.at(wait, Ev::Fault);
-        let n = self.rng.random_range(0..NODES);
-        match self.rng.random_range(0..12) {
-            // Controllers reach all but each other, for longer than a cancellation may take.
-            10 => self.apart_until = self.now + self.rng.random_range(5000..45_000),
-            0 | 1 => {
-                if self.nodes[n].take().is_some() {
-                    let back = self.back_ms();
-                    self.at(back, Ev::Restart(n));
-                }
-            }
-            2 => {
-                let back = self.back_ms();
-                for i in 0..NODES {
-                    if self.nodes[i].take().is_some() {
-                        self.at(back, Ev::Restart(i));
-                    }
-                }
-            }
-            3 => self.outage_until = self.now + self.rng.random_range(2000..20_000),
-            4 => self.cut[n] = !self.cut[n],
-            5 => self.blind[n] = !self.blind[n],
-            // No processor time for a while: whatever is due or comes is late, its lease over.
-            6 | 7 => self.stalled[n] = self.now + self.rng.random_range(1000..25_000),
-            8 | 9 => {
-                let names: Vec<String> = self.workers.keys().cloned().collect();
-                let m = &names[self.rng.random_range(0..names.len())];
-                let long = self.rng.random_range(1000..20_000);
-                if let Some(w) = self.workers.get_mut(m) {
-                    w.hang_until = self.now + long;
-                }
-            }
-            _ => {
-                self.cut = vec![false; NODES];
-                self.blind = vec![false; NODES];
-            }
-        }
-    }
-
     /// How often the cores that live looked at a machine to judge it for a job.
     pub fn looked(&self) -> u64 {
         self.nodes.iter().flatten().map(Node::looked).sum()
@@ -1020,7 +620,7 @@
 
     /// Runs to the end of the plan; an error names the broken rule and how to see it again.
     pub fn run(&mut self) -> Result<(), String> {
-        self.run_to(self.plan.seconds * 1000)
+        self.run_to((self.plan.seconds + self.plan.calm) * 1000)
     }
 
     /// Runs until so many milliseconds after the beginning.
