Every job begins: first in turn after 110 s without a start; large ones are due earlier; served

Seen with the new log line on their sites: idle-time arrays without an aim began after up to 591 s behind a stream of small ones of the same priority; an array of 25,000 tasks was due as late as one of ten.

Change: a job without any start for 110 s comes first among its like, until it has begun (Job::turn); a job is due earlier by what its seat takes to place its tasks, from the settings' limits; event=served once a minute by class and team, with the largest job that waits.

--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -66,6 +66,12 @@
                 let placed = self.jobs.values().filter(|j| !j.placed.is_empty());
                 self.unsettled = placed.map(|j| j.id).collect();
                 self.over = done.map(|j| (j.id, ctx.now)).collect();
+                for j in self.jobs.values_mut().filter(|j| !j.wire.class.is_empty()) {
+                    if !j.placed.is_empty() || !j.done.is_empty() {
+                        j.begun = Some(ctx.now);
+                        self.served.had_begun(j);
+                    }
+                }
                 ctx.wake = true;
                 let (s, n) = (self.seat.0, self.jobs.len());
                 ctx.out.log(1, "seat_loaded", || format!("seat={s} jobs={n}"));
@@ -88,7 +94,9 @@
         };
         let age = ctx.time_ms.saturating_sub(value["at"].as_u64().unwrap_or(ctx.time_ms));
         let shape = ctx.names.shape(&Arc::new(wire_shape(&wire)));
-        self.jobs.insert(id, Job::new(id, wire, shape, ctx.now.saturating_sub(age), &ctx.cfg.aims));
+        let job = Job::new(id, wire, shape, ctx.now.saturating_sub(age), &ctx.cfg.aims);
+        self.served.asks(&job);
+        self.jobs.insert(id, job);
         self.pending.insert(id);
         ctx.wake = true;
     }
--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 use leaddeal_wire::user::{Kind, Priority, Status};
 use leaddeal_wire::worker::{TaskState, Why};
 use rounds::{Record as Slot, Rounds};
+use served::Served;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 mod load;
 mod round;
 mod rounds;
+mod served;
 
 /// Answers to a request for offers are waited for no longer than this.
 pub const OFFERS_MS: u64 = 2000;
@@ -116,6 +118,7 @@
     unsettled: BTreeSet<JobId>,
     /// GPU work there is, and when to look anew.
     gpu_work: (Now, Vec<GpuWork>),
+    served: Served,
     /// Cancellations being written.
     cancelling: BTreeSet<JobId>,
     fold: Option<Fold>,
@@ -156,6 +159,7 @@
             dirty: BTreeSet::new(),
             unsettled: BTreeSet::new(),
             gpu_work: (0, Vec::new()),
+            served: Served::default(),
             cancelling: BTreeSet::new(),
             fold: None,
             finals_after: 0,
@@ -282,6 +286,11 @@
             return None;
         }
         let j = self.jobs.get_mut(&id)?;
+        let ran = matches!(e.phase, Phase::On(TaskState::Running) | Phase::Exited(Why::Done, _));
+        if ran && j.begun.is_none() && !j.cancelled {
+            j.begun = Some(now);
+            self.served.begins(j, now);
+        }
         if !over {
             j.placed.set_phase(e.task, e.phase);
             // A gang that is to save must be stopped whole, and soon.
--- a/crates/core/src/coordinator/round.rs
+++ b/crates/core/src/coordinator/round.rs
@@ -34,7 +34,7 @@
             // Gangs whole, and what is in doubt in one place at a time.
             .filter(|j| j.placed.is_empty() || (j.wire.kind != Kind::Gang && !j.doubt.in_doubt()))
             .map(|j| {
-                let (late, due) = j.urgency(now);
+                let (late, due) = j.turn(now);
                 (std::cmp::Reverse(j.wire.priority), late, due, j.created, j.id)
             })
             .collect();
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -13,6 +13,8 @@
 /// A service asked for in vain for so long may stand in the way of GPU work.
 const LONG_REFUSED_MS: u64 = 9000;
 
+/// A job that has waited for so long without any start comes first among its like.
+const BEGINS_MS: u64 = 110_000;
 /// A job that fails on so many machines and runs well on none is at fault itself.
 const FAILS_ITSELF: usize = 3;
 /// After a failure that says nothing of the job.
@@ -30,6 +32,8 @@
     pub wire: user::Job,
     pub shape: Shape,
     pub created: Now,
+    /// When a task of it was first known to run, by this owner of its seat.
+    pub begun: Option<Now>,
     pub done: Bits,
     next_fresh: u32,
     again: BTreeSet<u32>,
@@ -111,6 +115,8 @@
 /// What the users ask for, by class: limits in milliseconds from the submission.
 #[derive(Clone, Debug, Default)]
 pub struct Aims {
+    /// Placing one task after another of the same job takes so long each.
+    task_ms: f64,
     by_class: HashMap<String, ClassAims>,
 }
 
@@ -123,8 +129,8 @@
 }
 
 impl Aims {
-    pub fn new(objectives: &[Objective]) -> Aims {
-        let mut a = Aims::default();
+    pub fn new(objectives: &[Objective], task_ms: f64) -> Aims {
+        let mut a = Aims { task_ms, ..Aims::default() };
         for o in objectives {
             let c = a.by_class.entry(o.class.clone()).or_default();
             match (o.kind.as_str(), o.within_s) {
@@ -153,6 +159,11 @@
             }
             starts.extend(a.deadline.iter().map(|t| d * t - run));
         }
+        // The last of its tasks is to start by then, so a large job is due earlier. (Found on the
+        // operators' sites: an array of 25,000 tasks was due as late as one of ten, and when its
+        // turn came there was not time enough to place them.)
+        let spread = self.task_ms * f64::from(wire.tasks);
+        starts.iter_mut().for_each(|s| *s -= spread);
         starts.sort_by(f64::total_cmp);
         starts
     }
@@ -182,6 +193,7 @@
             id,
             shape,
             created,
+            begun: None,
             done: Bits::default(),
             next_fresh: 0,
             again: BTreeSet::new(),
@@ -245,6 +257,18 @@
         (missed as u8, self.created + next.max(0.0) as u64)
     }
 
+    /// Its turn among jobs of the same priority. Whatever its aims, and however many others have
+    /// nearer ones, a job that has waited for so long without a single start comes first: the
+    /// operators' largest and idle-time jobs have to begin within four minutes. (Found on their
+    /// sites: arrays without an aim began after 500 to 590 s, behind a stream of small ones.)
+    pub fn turn(&self, now: Now) -> (u8, Now) {
+        let due = self.created + BEGINS_MS;
+        if self.begun.is_none() && now >= due {
+            return (0, due);
+        }
+        self.urgency(now)
+    }
+
     /// More than a third of the time to its next aim is over.
     pub fn pressing(&self, now: Now) -> bool {
         let (_, due) = self.urgency(now);
@@ -550,9 +574,18 @@
             times: None,
         };
         j.wire.class = "c".into();
-        j.starts = Aims::new(&[objective(80.0), objective(350.0)]).starts(&j.wire);
+        j.starts = Aims::new(&[objective(80.0), objective(350.0)], 0.0).starts(&j.wire);
         j.created = 1_000_000;
         assert_eq!(j.urgency(1_050_000), (0, 1_080_000));
         assert_eq!(j.urgency(1_100_000), (1, 1_350_000));
+        // One that has not begun comes first in the end, and then only until it has.
+        assert_eq!(j.turn(1_109_000), j.urgency(1_109_000));
+        assert_eq!(j.turn(1_200_000), (0, 1_110_000));
+        j.begun = Some(1_200_000);
+        assert_eq!(j.turn(1_200_000), j.urgency(1_200_000));
+        // A large one takes so long to be placed that it is due earlier.
+        j.wire.tasks = 25_000;
+        j.starts = Aims::new(&[objective(80.0), objective(350.0)], 4.0).starts(&j.wire);
+        assert_eq!(j.urgency(1_050_000), (1, 1_250_000));
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -144,6 +144,10 @@
         let p = &s.params;
         let mut names = Names::default();
         names.zones.clone_from(&p.zones);
+        let max_picks = ((p.state.value_kb * 1024.0 - 200.0) / 64.0).clamp(1.0, 150.0) as usize;
+        // Tasks of one job that its seat may place in a second: half of the seat's changes go to
+        // decisions, and no job takes more than a third of one.
+        let placed_s = p.state.write_rps / n as f64 * 0.5 * max_picks as f64 / 3.0;
         Node {
             me: NodeIdx(me as u8),
             boot,
@@ -156,12 +160,12 @@
                 cancel_ms: (p.workers.cancel_s * 1000.0) as u64,
                 quiet_ms: (p.workers.report_s * 2500.0) as u64 + 500,
                 report_due_ms: (p.workers.report_s * 1250.0) as u64 + 1500,
-                max_picks: ((p.state.value_kb * 1024.0 - 200.0) / 64.0).clamp(1.0, 150.0) as usize,
+                max_picks,
                 txn_ops: p.state.txn_ops,
                 cloud_gap_ms: (1100.0 / p.cloud.rps) as u64,
                 list_lag_ms: (p.cloud.list_lag_s * 1000.0) as u64,
                 teams: p.teams.clone(),
-                aims: Aims::new(&p.objectives),
+                aims: Aims::new(&p.objectives, 1000.0 / placed_s.max(1.0)),
             },
             names,
             budget: Budget::new(p.state.write_rps, n, now),
@@ -448,6 +452,8 @@
             let c = ctx!(self, out);
             let Some(o) = &mut self.owned[i] else { continue };
             let (seat, room) = (o.coordinator.figures(c.now), o.part.figures(&c));
+            let served = o.coordinator.served(c.now);
+            out.log(1, "served", || served);
             out.log(1, "seat", || seat);
             out.log(1, "room", || room);
         }
