--- a/crates/testkit/tests/recovery.rs
+++ b/crates/testkit/tests/recovery.rs
@@ -179,3 +179,33 @@
     assert!(deaf.0 < quiet.0 * 3 / 2, "{} calls instead of {}", deaf.0, quiet.0);
     assert!(deaf.1 * 10 > quiet.1 * 6, "{} starts instead of {}", deaf.1, quiet.1);
 }
+
+/// The operators' troubles on top of each other, and then none: the rules hold, every job is still
+/// answered about, and nobody is served less than half.
+#[test]
+fn the_operators_troubles_together() {
+    let script = vec![
+        (20_000, Fault::Polls { ms: 60_000 }),
+        (21_000, Fault::Crash { nodes: vec![0], back_ms: 200 }),
+        (21_300, Fault::Crash { nodes: vec![1], back_ms: 200 }),
+        (40_000, Fault::Freeze { node: 1, ms: 6000 }),
+        (47_000, Fault::Freeze { node: 1, ms: 25_000 }),
+        (50_000, Fault::Deaf { machines: 5, ms: 40_000 }),
+        (60_000, Fault::Reborn { machines: 4 }),
+        (60_300, Fault::Reborn { machines: 4 }),
+        (65_000, Fault::Faulty { machines: 3, ms: 30_000 }),
+        (80_000, Fault::Lone { node: 2, ms: 40_000 }),
+        (100_000, Fault::Shut { node: 0, ms: 40_000 }),
+        (120_000, Fault::Polls { ms: 30_000 }),
+        (121_000, Fault::Lone { node: 0, ms: 10_000 }),
+        (121_100, Fault::Crash { nodes: vec![1, 2], back_ms: 100 }),
+    ];
+    for seed in 1..=3 {
+        let plan = Plan { seconds: 180, script: script.clone(), scale: 3, ..Plan::new(seed) };
+        let mut sim = Sim::new(Plan { calm: 100, team_max: 20.0, ..plan });
+        run(&mut sim, 280_000);
+        let under: Vec<_> = sim.under_half().into_iter().filter(|s| s.of > 3).collect();
+        assert!(under.is_empty(), "seed {seed}: served less than half: {under:?}");
+        assert!(sim.rules.starts > 200, "only {} starts", sim.rules.starts);
+    }
+}
