--- a/crates/core/src/node/detour.rs
+++ b/crates/core/src/node/detour.rs
@@ -45,7 +45,7 @@
 }
 
 /// Workers that came here though their machines' seats are a sibling's.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Detours {
     visits: HashMap<MachineIdx, Visit>,
 }
@@ -131,6 +131,47 @@
         assert_eq!(d.count(100_000 + 600_000 + FORGET_MS), 0);
     }
 
+    /// A worker somewhere in a bounded search: where its next report goes, and when it was answered.
+    #[derive(Clone)]
+    struct Step {
+        detours: Detours,
+        at_owner: bool,
+        granted: Now,
+        now: Now,
+    }
+
+    /// Every way in which the direct way can come and go over so many reports: as long as the sibling
+    /// can be reached, no lease runs out. Returns how many histories there were.
+    fn search(s: &Step, depth: u32) -> u64 {
+        assert!(s.now - s.granted < LEASE_MS, "no answer since {} at {}", s.granted, s.now);
+        if depth == 0 {
+            return 1;
+        }
+        let mut next = s.clone();
+        if !s.at_owner {
+            match next.detours.way(M, true, 60_000, s.now) {
+                Way::Detour => {
+                    (next.granted, next.now) = (s.now, s.now + REPORT_MS);
+                }
+                // At once or after up to half a second.
+                Way::Direct => (next.at_owner, next.now) = (true, s.now + 500),
+            }
+            return search(&next, depth - 1);
+        }
+        let up = Step { granted: s.now, now: s.now + REPORT_MS, ..next.clone() };
+        let down = Step { at_owner: false, now: s.now + TIMEOUT_MS + NEXT_MS, ..next };
+        search(&up, depth - 1) + search(&down, depth - 1)
+    }
+
+    #[test]
+    fn no_history_of_a_direct_way_that_comes_and_goes_ends_a_lease() {
+        let (at_owner, granted) = (true, 100_000);
+        let first =
+            Step { detours: Detours::default(), at_owner, granted, now: granted + REPORT_MS };
+        let histories = search(&first, 32);
+        assert!(histories > 10_000, "{histories} histories");
+    }
+
     #[test]
     fn who_can_reach_its_owner_is_sent_there() {
         let mut d = Detours::default();
