--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -323,7 +323,12 @@
                 if j.wire.kind == Kind::Service && j.placed.running() > 0 {
                     j.doubt.ran_well();
                 }
+                let before = j.doubt.in_doubt();
                 j.not_before = j.doubt.failed(p.machine, now, j.not_before);
+                if j.doubt.in_doubt() && !before {
+                    let name = &j.wire.id;
+                    ctx.out.log(1, "job_in_doubt", || name.clone());
+                }
             }
             Phase::Exited(Why::Full | Why::Busy, _) => j.not_before = now + 300,
             _ if j.doubt.in_doubt() => {}
