--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -488,9 +488,8 @@
 mod tests {
     use super::*;
 
-    #[test]
-    fn a_new_session_has_a_lease_of_its_own() {
-        let report = |session| Report {
+    fn report(session: u64, token: u64) -> Report {
+        Report {
             machine: "n-000001".into(),
             addr: String::new(),
             type_name: "small".into(),
@@ -498,14 +497,18 @@
             spot: false,
             session,
             seq: 1,
-            token: 5,
+            token,
             notice_s: None,
             tasks: Vec::new(),
-        };
+        }
+    }
+
+    #[test]
+    fn a_new_session_has_a_lease_of_its_own() {
         let mut m = Machine::new(1000);
-        assert!(m.apply(&report(1), Epoch(5), true, 2000));
+        assert!(m.apply(&report(1, 5), Epoch(5), true, 2000));
         let first = m.lease_over_at(8000, 0);
-        assert!(m.apply(&report(2), Epoch(5), false, first - 10));
+        assert!(m.apply(&report(2, 5), Epoch(5), false, first - 10));
         assert!(m.lease_over_at(8000, 0) >= first - 10 + 8000, "it may have begun just now");
     }
 
@@ -513,18 +516,6 @@
     /// before may answer it again, and its lease is counted so.
     #[test]
     fn a_worker_that_forgot_our_token_is_not_sure_to_heed_us_alone() {
-        let report = |session, token| Report {
-            machine: "n-000001".into(),
-            addr: String::new(),
-            type_name: "small".into(),
-            zone: "a".into(),
-            spot: false,
-            session,
-            seq: 1,
-            token,
-            notice_s: None,
-            tasks: Vec::new(),
-        };
         let mut m = Machine::new(0);
         m.apply(&report(1, 5), Epoch(5), true, 1000);
         assert!(m.confirmed);
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -498,29 +498,21 @@
                 if w.gone {
                     return Ok(());
                 }
-                // It may still come, later than whoever sent it waits.
-                if self.now < w.deaf_until {
-                    let later = w.deaf_until - self.now + 1;
+                // A machine that hangs takes it in when it wakes up; to one that is deaf it may come or
+                // not, later than whoever sent it waits.
+                let (hangs, until) = (self.now < w.hang_until, w.hang_until.max(w.deaf_until));
+                if self.now < until {
                     if !lost {
                         let outcome = DirectOutcome::Unknown;
                         let input = Input::Orders { machine: m.clone(), batch, outcome };
                         self.at(2500, Ev::In(n, boot, input));
                     }
-                    if self.rng.random_bool(0.5) {
+                    if hangs || self.rng.random_bool(0.5) {
+                        let later = until - self.now + 1;
                         self.at(later, Ev::Direct(n, boot, m, batch, d, true));
                     }
                     return Ok(());
                 }
-                if self.now < w.hang_until {
-                    let later = w.hang_until - self.now + 1;
-                    if !lost {
-                        let outcome = DirectOutcome::Unknown;
-                        let input = Input::Orders { machine: m.clone(), batch, outcome };
-                        self.at(2500, Ev::In(n, boot, input));
-                    }
-                    self.at(later, Ev::Direct(n, boot, m, batch, d, true));
-                    return Ok(());
-                }
                 w.advance(self.now, &mut self.done, jobs);
                 let good = d.token >= w.token && d.session == w.session;
                 if good {
