Workers are answered only as long as all cancellations are proven known (horizon.rs)

The operators' gap: the store refuses the leader alone, another controller confirms cancellations, then the store is down for longer than cancel_s. Before, an owner in doubt answered by constants, or for as long as it heard all siblings, which proves nothing of what they know. Now each shard has a horizon that moves by proof alone: the owner's word with our stamp in it, the store, or every other process' word. A silent machine's wait after a takeover follows from the same settings. An epoch that was given up is never acted under again; a yes after its job's end starts nothing. Excluded: acknowledgements (hold cancellations back), a fixed time (kills in outages).

--- a/crates/core/src/coordinator/finish.rs
+++ b/crates/core/src/coordinator/finish.rs
@@ -71,6 +71,7 @@
                 }
             }
             if let Some(call) = call {
+                ctx.horizons.cancelled(self.seat, self.epoch, id, ctx.now);
                 let kind = OpKind::Finish { seat: self.seat, epoch: self.epoch, job: id };
                 ctx.store(kind, call);
             }
--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -72,6 +72,10 @@
                         self.served.had_begun(j);
                     }
                 }
+                // Their final states are written already: an owner before may have told nobody else.
+                for j in self.jobs.values().filter(|j| j.wire.class.is_empty()) {
+                    ctx.horizons.cancelled(self.seat, self.epoch, j.id, ctx.now);
+                }
                 ctx.wake = true;
                 let (s, n) = (self.seat.0, self.jobs.len());
                 ctx.out.log(1, "seat_loaded", || format!("seat={s} jobs={n}"));
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -2,6 +2,7 @@
 //! what, and ways to send, write, ask and answer. Below all parts, so that none needs the node.
 use crate::budget::{Budget, Class};
 use crate::health::lately;
+use crate::horizon::Horizons;
 use crate::ids::{seat_of_job, seat_of_machine, Epoch, JobId, MachineIdx, NodeIdx, Now, Seat};
 use crate::io::{CloudCall, OpId, Out, Output, ReqId, StoreCall, UserReply};
 use crate::jobs::{Aims, Job};
@@ -68,7 +69,7 @@
     Submit { req: ReqId, id: JobId, value: serde_json::Value },
     ReadJob { req: ReqId, id: JobId, ask: AskKind },
     ReadFinal { req: ReqId, id: JobId, ask: AskKind },
-    Finals { seat: Seat },
+    Finals { seat: Seat, asked: Now },
     BasePut,
     BaseGet,
     Catalog,
@@ -107,6 +108,7 @@
     pub names: &'a mut Names,
     pub cfg: &'a Config,
     pub budget: &'a mut Budget,
+    pub horizons: &'a mut Horizons,
     pub(crate) me: NodeIdx,
     pub(crate) view: &'a [SeatView],
     pub(crate) heard: &'a [Now],
--- /dev/null
+++ b/crates/core/src/horizon.rs
@@ -0,0 +1,336 @@
+//! What was cancelled, and up to when all of it is known here: how long workers may be answered.
+//!
+//! An answer keeps a worker's tasks alive for its lease. The tasks of a cancelled job must be gone
+//! `cancel_s` after its user was told, which any controller may have done, from the store or as the
+//! owner of the job's shard. So each node keeps a *horizon* for each shard.
+//!
+//! Invariants:
+//! - every cancellation of the shard that was written until its horizon is known here. Users are told
+//!   only what was written before;
+//! - a horizon moves on by proof alone: what the shard's owner says under its lease, of itself (1); what
+//!   the store was read to hold (2); or, though the owner's lease is in doubt, that every other process
+//!   said that neither it nor a process of its before acted under a newer epoch (3). What is said counts
+//!   from our own stamp that it echoes: it was said after that, however long it was on its way;
+//! - silence, a restart, or a newer epoch without such a word never moves a horizon on;
+//! - a worker is answered only until the horizon of its own shard, and of those of its tasks, plus
+//!   `patience_ms`: `cancel_s` less what a lease takes. No owner answers later than that after it lost
+//!   its shard, which is what a new owner of a silent machine waits for.
+use crate::ids::{Epoch, JobId, NodeIdx, Now, Seat};
+use crate::seat::{at_least, at_most, SeatView};
+use leaddeal_wire::mesh::{Beat, Stamp, Word};
+use std::collections::{HashMap, VecDeque};
+
+/// What was cancelled is remembered for so long beyond what a cancellation may take.
+const KEEP_MS: u64 = 60_000;
+/// A word names at most this many cancellations; with more to tell it is not whole.
+const MOST_NAMED: usize = 400;
+/// An owner that has said nothing for so long is not waited for: the store is read.
+const STALE_MS: u64 = 3000;
+
+/// Whose word a cancellation rests on: this epoch's, or the store's, which nobody takes back.
+const STORED: Epoch = Epoch(u64::MAX);
+
+#[derive(Clone, Copy, Debug)]
+struct Over {
+    by: Epoch,
+    at: Now,
+}
+
+/// A cancellation of a shard that is acted for here, by its number.
+#[derive(Clone, Copy, Debug)]
+struct Logged {
+    number: u64,
+    job: JobId,
+    at: Now,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Shard {
+    horizon: Option<Now>,
+    /// Who spoke for it last: under which epoch, and after which of our times.
+    spoken: Option<(Epoch, Now)>,
+    /// When its owner, or the store, last said all without doubt.
+    sure: Option<Now>,
+    /// Cancellations up to this number of that epoch are known.
+    heeded: (Epoch, u64),
+    /// Of our own, while we act for it.
+    log: VecDeque<Logged>,
+    numbered: u64,
+    /// Nothing was done by processes of this node before under a newer epoch; none: not read yet.
+    floor: Option<Epoch>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    /// Its newest stamp.
+    stamp: Option<Stamp>,
+    /// By shard: it acted under no newer epoch than this, said after that time of ours.
+    vouched: Vec<(Epoch, Now)>,
+    /// What it has heeded of our shards.
+    heeded: Vec<(Epoch, u64)>,
+}
+
+/// A shard that this node acts for and whose coordinator knows all: its epoch, and for how long the
+/// lease has been in doubt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mine {
+    pub epoch: Epoch,
+    pub doubt_ms: u64,
+}
+
+#[derive(Debug)]
+pub struct Horizons {
+    me: NodeIdx,
+    boot: u64,
+    patience_ms: u64,
+    keep_ms: u64,
+    over: HashMap<JobId, Over>,
+    /// Learned since they were last taken.
+    fresh: Vec<JobId>,
+    shards: Vec<Shard>,
+    peers: Vec<Peer>,
+}
+
+/// How long after a shard's horizon workers may be answered, for these settings.
+pub fn patience_ms(cancel_ms: u64, worker_lease_ms: u64) -> u64 {
+    at_most(cancel_ms).saturating_sub(at_least(worker_lease_ms))
+}
+
+impl Horizons {
+    pub fn new(
+        me: NodeIdx,
+        boot: u64,
+        nodes: usize,
+        cancel_ms: u64,
+        worker_lease_ms: u64,
+    ) -> Horizons {
+        Horizons {
+            me,
+            boot,
+            patience_ms: patience_ms(cancel_ms, worker_lease_ms),
+            keep_ms: cancel_ms + KEEP_MS,
+            over: HashMap::new(),
+            fresh: Vec::new(),
+            shards: vec![Shard::default(); nodes],
+            peers: vec![Peer::default(); nodes],
+        }
+    }
+
+    pub fn patience_ms(&self) -> u64 {
+        self.patience_ms
+    }
+
+    /// Whether an answer now keeps no task of a cancelled job of this shard alive for too long.
+    pub fn permits(&self, seat: Seat, now: Now) -> bool {
+        let horizon = self.shards.get(seat.0 as usize).and_then(|s| s.horizon);
+        horizon.is_some_and(|h| now < h + self.patience_ms)
+    }
+
+    /// How long ago the horizon is; none: nothing is known.
+    pub fn behind_ms(&self, seat: Seat, now: Now) -> Option<u64> {
+        let horizon = self.shards.get(seat.0 as usize).and_then(|s| s.horizon);
+        horizon.map(|h| now.saturating_sub(h))
+    }
+
+    /// The revision from which on the store has to be read is that of this time; none: its owner
+    /// speaks for the shard.
+    pub fn to_be_read(&self, seat: Seat, back_ms: u64, now: Now) -> Option<Now> {
+        let s = self.shards.get(seat.0 as usize)?;
+        let silent = s.sure.is_none_or(|at| now >= at + STALE_MS);
+        silent.then(|| s.horizon.unwrap_or(now).saturating_sub(back_ms))
+    }
+
+    pub fn is_over(&self, job: JobId) -> bool {
+        self.over.contains_key(&job)
+    }
+
+    /// Jobs learned to be over since this was last asked.
+    pub fn take_fresh(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.fresh)
+    }
+
+    fn learn(&mut self, job: JobId, by: Epoch, now: Now) {
+        if self.over.get(&job).is_none_or(|o| o.by < by) {
+            self.over.insert(job, Over { by, at: now });
+            self.fresh.push(job);
+        }
+    }
+
+    /// The owner under this epoch, which is us, writes that the job is cancelled, or found it so.
+    /// Named before it is known to be written: whoever reads the store may tell of it first.
+    pub fn cancelled(&mut self, seat: Seat, epoch: Epoch, job: JobId, now: Now) {
+        self.learn(job, epoch, now);
+        let shard = self.shards.get_mut(seat.0 as usize);
+        if let Some(s) = shard.filter(|s| s.log.iter().all(|l| l.job != job)) {
+            s.numbered += 1;
+            s.log.push_back(Logged { number: s.numbered, job, at: now });
+        }
+    }
+
+    /// The owner under this epoch has work placed for the job: what an owner before it wanted to write
+    /// was not written in time, and never will be.
+    pub fn goes_on(&mut self, job: JobId, epoch: Epoch) {
+        if self.over.get(&job).is_some_and(|o| o.by < epoch) {
+            self.over.remove(&job);
+        }
+    }
+
+    /// We act for the shard under a new epoch.
+    pub fn begin(&mut self, seat: Seat) {
+        if let Some(s) = self.shards.get_mut(seat.0 as usize) {
+            s.log.clear();
+            s.numbered = 0;
+        }
+    }
+
+    /// The store was read, asked at that time, and these jobs are over.
+    pub fn stored(&mut self, jobs: impl IntoIterator<Item = JobId>, now: Now) {
+        for job in jobs {
+            self.learn(job, STORED, now);
+        }
+    }
+
+    /// All that the store held of the shard at that time was read.
+    pub fn read(&mut self, seat: Seat, asked: Now) {
+        if let Some(s) = self.shards.get_mut(seat.0 as usize) {
+            s.horizon = s.horizon.max(Some(asked));
+            s.sure = s.sure.max(Some(asked));
+        }
+    }
+
+    /// This process has read the shard's key for the first time: it had this version, or at this
+    /// revision it was not there.
+    pub fn first_seen(&mut self, seat: Seat, revision: u64) {
+        if let Some(s) = self.shards.get_mut(seat.0 as usize) {
+            s.floor.get_or_insert(Epoch(revision));
+        }
+    }
+
+    /// A beat of a sibling, after what it says of owners was taken in. True: a process that was not
+    /// heard before, which waits for our stamp.
+    pub fn hear(&mut self, from: NodeIdx, b: &Beat, view: &[SeatView], now: Now) -> bool {
+        let Some(peer) = self.peers.get_mut(from.0 as usize) else { return false };
+        let new = peer.stamp.is_none_or(|s| s.boot != b.stamp.boot);
+        if new {
+            *peer = Peer::default();
+        }
+        peer.stamp = Some(b.stamp);
+        let n = self.shards.len();
+        peer.heeded = vec![(Epoch(0), 0); n];
+        for &(seat, epoch, number) in &b.heeded {
+            if let Some(h) = peer.heeded.get_mut(seat as usize) {
+                *h = (Epoch(epoch), number);
+            }
+        }
+        // Said after we sent what it echoes. Nothing of the future is believed.
+        let said = b.echo.filter(|e| e.boot == self.boot && e.at <= now).map(|e| e.at);
+        if let Some(said) = said.filter(|_| b.newest.len() == n) {
+            peer.vouched = b.newest.iter().map(|&e| (Epoch(e), said)).collect();
+        }
+        for w in &b.words {
+            self.word(w, view, said, now);
+        }
+        new
+    }
+
+    fn word(&mut self, w: &Word, view: &[SeatView], said: Option<Now>, now: Now) {
+        let (i, epoch) = (w.seat as usize, Epoch(w.epoch));
+        let newest = view.get(i).and_then(|v| v.last).map_or(Epoch(0), |o| o.epoch);
+        let Some(s) = self.shards.get_mut(i).filter(|_| epoch >= newest) else { return };
+        let heeded = if s.heeded.0 == epoch { s.heeded.1 } else { 0 };
+        let no_gap = w.after <= heeded;
+        if no_gap {
+            s.heeded = (epoch, heeded.max(w.upto));
+        }
+        if let Some(said) = said.filter(|_| no_gap && w.whole) {
+            s.spoken = Some((epoch, said));
+            // Until when its lease was certain, by a clock that may be slow.
+            let doubt = if w.doubt_ms > 0 { at_least(w.doubt_ms) } else { 0 };
+            let sure = said.checked_sub(doubt);
+            s.horizon = s.horizon.max(sure);
+            s.sure = s.sure.max(sure.filter(|_| doubt == 0));
+        }
+        for &job in &w.cancelled {
+            self.learn(JobId(job), epoch, now);
+        }
+    }
+
+    /// Time has passed, or something was heard; `mine`: what this node acts for, by shard.
+    pub fn advance(&mut self, mine: &[Option<Mine>], view: &[SeatView], now: Now) {
+        for (i, s) in self.shards.iter_mut().enumerate() {
+            if let Some(m) = mine.get(i).copied().flatten() {
+                s.spoken = Some((m.epoch, now));
+                s.horizon = s.horizon.max(now.checked_sub(m.doubt_ms));
+                if m.doubt_ms == 0 {
+                    s.sure = Some(now);
+                }
+            }
+            // In doubt: nobody else has acted under a newer epoch, as all others say.
+            let Some((epoch, said)) = s.spoken else { continue };
+            let newest = view.get(i).and_then(|v| v.last).map_or(Epoch(0), |o| o.epoch);
+            if newest > epoch || s.floor.is_none_or(|f| f > epoch) {
+                continue;
+            }
+            let others = self.peers.iter().enumerate().filter(|p| p.0 != self.me.0 as usize);
+            let mut vouched = others.map(|(_, p)| {
+                let word = p.vouched.get(i).filter(|v| v.0 <= epoch);
+                word.map(|v| v.1)
+            });
+            // One that says nothing, or has seen a newer one, leaves it where it is.
+            let all = vouched.try_fold(said, |a, v| Some(a.min(v?)));
+            s.horizon = s.horizon.max(all);
+        }
+    }
+
+    /// What was cancelled long ago is forgotten.
+    pub fn expire(&mut self, now: Now) {
+        let keep = self.keep_ms;
+        self.over.retain(|_, o| now < o.at + keep);
+        for s in &mut self.shards {
+            while s.log.front().is_some_and(|l| now >= l.at + keep) {
+                s.log.pop_front();
+            }
+        }
+    }
+
+    /// What to tell a sibling: adds our stamp and echo, what we vouch for, and our words.
+    pub fn tell(
+        &self,
+        to: NodeIdx,
+        mine: &[Option<Mine>],
+        view: &[SeatView],
+        now: Now,
+        b: &mut Beat,
+    ) {
+        b.stamp = Stamp { boot: self.boot, at: now };
+        let Some(peer) = self.peers.get(to.0 as usize) else { return };
+        b.echo = peer.stamp;
+        let newest = |(s, v): (&Shard, &SeatView)| {
+            let last = v.last.map_or(0, |o| o.epoch.0);
+            s.floor.map(|f| f.0.max(last))
+        };
+        let all: Option<Vec<u64>> = self.shards.iter().zip(view).map(newest).collect();
+        b.newest = all.unwrap_or_default();
+        let heeded = self.shards.iter().enumerate().filter(|(_, s)| s.heeded.1 > 0);
+        b.heeded = heeded.map(|(i, s)| (i as u8, s.heeded.0 .0, s.heeded.1)).collect();
+        for (i, (s, m)) in self.shards.iter().zip(mine).enumerate() {
+            let Some(m) = m else { continue };
+            let heeded = peer.heeded.get(i).filter(|h| h.0 == m.epoch).map_or(0, |h| h.1);
+            let untold = s.log.iter().filter(|l| l.number > heeded);
+            let named: Vec<&Logged> = untold.take(MOST_NAMED).collect();
+            let upto = named.last().map_or(heeded, |l| l.number);
+            b.words.push(Word {
+                seat: i as u8,
+                epoch: m.epoch.0,
+                doubt_ms: m.doubt_ms,
+                after: heeded,
+                upto,
+                whole: s.log.back().is_none_or(|l| l.number <= upto),
+                cancelled: named.iter().map(|l| l.job.0).collect(),
+            });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod health;
 pub mod hearing;
+pub mod horizon;
 pub mod ids;
 pub mod io;
 pub mod jobs;
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -4,12 +4,12 @@
 use crate::coordinator::Coordinator;
 use crate::ctx::{Ask, Config, Ctx, OpKind, Ops};
 use crate::health::Health;
+use crate::horizon::{Horizons, Mine};
 use crate::ids::{Epoch, JobId, NodeIdx, Now, Seat, BUYER_SEAT};
 use crate::io::{CloudCall, CloudResult, Input, Out, Output, ReqId, StoreResult};
 use crate::jobs::Aims;
 use crate::names::Names;
 use crate::part::Part;
-use crate::records::Feed;
 use crate::seat::{at_least, Lease, SeatView};
 use crate::teams::Desk;
 use leaddeal_wire::mesh::{NodeMsg, SeatMsg};
@@ -31,8 +31,6 @@
 const STEADY_MS: u64 = 20_000;
 /// The operators' figures are logged this often.
 const FIGURES_MS: u64 = 60_000;
-/// What a worker takes to find another node, and its commands to take effect.
-const LET_GO_MS: u64 = 12_000;
 /// Final states are read from so long before a sibling was last heard: what it sent until then
 /// came, or was sent again.
 const FINALS_BACK_MS: u64 = 5000;
@@ -51,6 +49,7 @@
             names: &mut $n.names,
             cfg: &$n.cfg,
             budget: &mut $n.budget,
+            horizons: &mut $n.horizons,
             me: $n.me,
             view: &$n.view,
             heard: $n.health.heard(),
@@ -70,6 +69,7 @@
 mod workers;
 
 use detour::Detours;
+use finals::Reading;
 use workers::Passed;
 
 #[derive(Debug)]
@@ -108,8 +108,14 @@
     seats_at: Now,
     seats_busy: bool,
     health: Health,
+    /// What was cancelled, and up to when it is known.
+    horizons: Horizons,
+    /// Workers of a seat were let go, since what was cancelled is not known.
+    let_go: bool,
     state_ok_at: Now,
     owned: Vec<Option<Owned>>,
+    /// The newest epoch of each seat that this process acted under and acts under no more.
+    given_up: Vec<Epoch>,
     buyer: Option<(Epoch, Buyer)>,
     ops: Ops,
     sends: VecDeque<(Seat, Seat, SeatMsg)>,
@@ -128,8 +134,8 @@
     next_acquire: Vec<Now>,
     wake: bool,
     looked: u64,
-    /// Final states of seats whose owners are not heard.
-    finals: Vec<Option<Feed>>,
+    /// Final states of seats whose owners do not speak for them.
+    finals: Vec<Option<Reading>>,
     /// Newest revision heard of.
     revision: u64,
     /// When which revision was the newest.
@@ -175,8 +181,17 @@
             seats_at: now,
             seats_busy: false,
             health: Health::new(NodeIdx(me as u8), n),
+            horizons: Horizons::new(
+                NodeIdx(me as u8),
+                boot,
+                n,
+                (p.workers.cancel_s * 1000.0) as u64,
+                (p.workers.lease_s * 1000.0) as u64,
+            ),
+            let_go: false,
             state_ok_at: now,
             owned: (0..n).map(|_| None).collect(),
+            given_up: vec![Epoch(0); n],
             buyer: None,
             ops: Ops { next: 0, open: HashMap::new() },
             sends: VecDeque::new(),
@@ -275,6 +290,29 @@
         out.list
     }
 
+    /// What this node acts for and knows all of, by seat. Not while it is given back: that may have
+    /// been done already.
+    fn mine(&self, now: Now) -> Vec<Option<Mine>> {
+        let doubt_ms = self.lease.in_doubt_ms(now);
+        let all = self.owned.iter().map(|o| {
+            let o = o.as_ref().filter(|o| o.coordinator.ready() && !o.releasing)?;
+            Some(Mine { epoch: o.epoch, doubt_ms })
+        });
+        all.collect()
+    }
+
+    /// Stops everywhere here what was learned to be over.
+    fn stop_what_is_over(&mut self, out: &mut Out) {
+        for job in self.horizons.take_fresh() {
+            for i in 0..self.owned.len() {
+                let mut c = ctx!(self, out);
+                if let Some(o) = &mut self.owned[i] {
+                    o.part.job_over(&mut c, job);
+                }
+            }
+        }
+    }
+
     /// Delivers messages between seats until there are none.
     fn settle(&mut self, out: &mut Out) {
         for _ in 0..50 {
@@ -310,6 +348,7 @@
                     out.list.push(Output::Mesh { to: node, msg });
                 }
             }
+            self.stop_what_is_over(out);
             for i in 0..self.owned.len() {
                 let mut c = ctx!(self, out);
                 if let Some(o) = &mut self.owned[i] {
@@ -385,6 +424,8 @@
         }
         self.ticked = now;
         self.tick_lease(out);
+        let mine = self.mine(now);
+        self.horizons.advance(&mine, &self.view, now);
         self.tick_seats(out);
         if self.names.catalog.is_empty() && now >= self.catalog_at {
             self.catalog_at = now + 1000;
@@ -470,7 +511,9 @@
             self.marks.pop_front();
         }
         self.detours.expire(now);
-        self.beat(out);
+        self.horizons.expire(now);
+        self.note_let_go(out);
+        self.beat(out, |_| true);
         // At home again and ready: ask for the own seat.
         let me = self.me.0 as usize;
         if let Some(o) = self.view[me].owner {
--- a/crates/core/src/node/seats.rs
+++ b/crates/core/src/node/seats.rs
@@ -21,6 +21,7 @@
         // The second: an answer of the store that comes late, when a newer owner is known.
         if self.owned[i].as_ref().is_some_and(|o| o.epoch >= epoch)
             || self.view[i].owner.is_some_and(|o| o.epoch > epoch)
+            || epoch <= self.given_up[i]
         {
             return;
         }
@@ -31,7 +32,7 @@
         self.owned[i] = Some(Owned {
             epoch,
             coordinator: Coordinator::new(seat, epoch, n),
-            part: Part::new(seat, epoch, now, n),
+            part: Part::new(seat, epoch, now, n, self.horizons.patience_ms()),
             desk: Desk::new(seat, &self.cfg.teams, n),
             releasing: false,
             leave_until: 0,
@@ -39,8 +40,7 @@
         if seat == BUYER_SEAT {
             self.buyer = Some((epoch, Buyer::new(epoch, now)));
         }
-        // The new part has to be told all that the others know.
-        self.finals.fill_with(|| None);
+        self.horizons.begin(seat);
         self.spread_view();
         self.share_writes();
         let mut c = ctx!(self, out);
@@ -52,6 +52,9 @@
     pub(super) fn drop_seat(&mut self, out: &mut Out, seat: Seat) {
         let mut c = ctx!(self, out);
         if let Some(mut o) = self.owned[seat.0 as usize].take() {
+            // Its numbers of rounds and attempts are used, and what gave the seat back may yet be
+            // executed: it is never acted under again.
+            self.given_up[seat.0 as usize] = o.epoch;
             o.coordinator.abandon(&mut c);
             c.out.log(1, "seat_lost", || format!("seat={} epoch={}", seat.0, o.epoch.0));
             if seat == BUYER_SEAT {
@@ -90,6 +93,12 @@
             return;
         };
         let i = seat.0 as usize;
+        self.horizons.first_seen(
+            seat,
+            match seen {
+                Seen::Owned(_, revision) | Seen::Vacant(revision) => revision,
+            },
+        );
         let (v, version) = match seen {
             Seen::Owned(v, version) => (v, version),
             Seen::Vacant(revision) => {
@@ -123,10 +132,6 @@
 
     pub(super) fn tick_lease(&mut self, out: &mut Out) {
         let now = out.now;
-        if self.lease.id.is_some() && !self.lease.in_grace(now) {
-            // Too long without a renewal: nothing may be answered for any seat any more.
-            self.drop_all(out);
-        }
         let stuck = self.lease.sent.is_none_or(|s| now > s + 2500);
         if now >= self.lease.next && stuck {
             self.lease.sent = Some(now);
@@ -178,8 +183,11 @@
                     };
                     now >= v.vacant_since + wait
                 }
-                // Our own process before this one held it: that one is dead.
-                Some(o) if o.node == self.me && o.boot != self.boot => {
+                // Our own process before this one held it, and is dead; or this one gave that epoch up.
+                Some(o)
+                    if o.node == self.me
+                        && (o.boot != self.boot || o.epoch <= self.given_up[i]) =>
+                {
                     version = o.epoch.0;
                     true
                 }
--- a/crates/core/src/node/siblings.rs
+++ b/crates/core/src/node/siblings.rs
@@ -9,15 +9,18 @@
 impl Node {
     /// Tells all siblings what is owned here and what is known of the rest. Also while our lease
     /// may be in doubt: an older owner's time is over all the same.
-    pub(super) fn beat(&mut self, out: &mut Out) {
+    pub(super) fn beat(&mut self, out: &mut Out, to: impl Fn(NodeIdx) -> bool) {
+        let mine = self.mine(out.now);
         let owned = self.owned_seats().iter().map(|(s, e)| (s.0, e.0)).collect();
         let known = self.view.iter().enumerate().filter_map(|(i, v)| Some((i as u8, v.last?)));
         let known = known.map(|(i, o)| (i, o.node.0, o.epoch.0)).collect();
-        let beat = Beat { owned, known, ready: self.ready(out.now) };
+        let beat = Beat { owned, known, ready: self.ready(out.now), ..Beat::default() };
         for (i, n) in self.nodes.iter().enumerate() {
-            if i != self.me.0 as usize {
-                let msg = NodeMsg::Beat(beat.clone());
-                out.list.push(Output::Mesh { to: n.clone(), msg });
+            let node = NodeIdx(i as u8);
+            if node != self.me && to(node) {
+                let mut beat = beat.clone();
+                self.horizons.tell(node, &mine, &self.view, out.now, &mut beat);
+                out.list.push(Output::Mesh { to: n.clone(), msg: NodeMsg::Beat(beat) });
             }
         }
     }
@@ -41,6 +44,11 @@
             }
         }
         self.health.beat(from, b);
+        if self.horizons.hear(from, b, &self.view, out.now) {
+            self.beat(out, |n| n == from);
+        }
+        let mine = self.mine(out.now);
+        self.horizons.advance(&mine, &self.view, out.now);
         for o in self.owned.iter_mut().flatten() {
             if self.health.all_know(o.part.seat, o.epoch) {
                 o.part.older_let_go(out.now);
--- a/crates/core/src/node/stored.rs
+++ b/crates/core/src/node/stored.rs
@@ -182,9 +182,7 @@
                     _ => c.reply_later(req, 503, 1),
                 }
             }
-            OpKind::Finals { seat } => {
-                self.finals_read(out, seat, result);
-            }
+            OpKind::Finals { seat, asked } => self.finals_read(now, seat, asked, result),
             OpKind::BasePut => {
                 let mut c = ctx!(self, out);
                 match result {
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -1,12 +1,11 @@
 //! Workers: who may be answered, and what.
 use super::detour::Way;
-use super::{Node, CALL_MS, LET_GO_MS, MOST_CALLS};
+use super::{Node, CALL_MS, MOST_CALLS};
 use crate::ctx::Ctx;
 use crate::health::lately;
 use crate::hearing::Via;
-use crate::ids::{seat_of_machine, Now};
+use crate::ids::{seat_of_job, seat_of_machine, JobId, Now, Seat};
 use crate::io::{DirectOutcome, Out, Output, ReqId, WorkerReply};
-use crate::seat::at_most;
 use leaddeal_wire::mesh::NodeMsg;
 use leaddeal_wire::worker::Report;
 
@@ -18,15 +17,46 @@
 }
 
 impl Node {
-    /// Whether workers may be answered. Who hears neither the store nor all siblings can't learn
-    /// what was cancelled: it lets its workers go in time for whoever owns its seats by then. (Found
-    /// by the simulator: workers stayed with a node that heard nobody for its whole grace; and, seed
-    /// 1498, with one that heard a sibling again which knew as little, while the third had cancelled
-    /// a job and could not be heard.)
-    pub(super) fn may_answer(&self, now: Now) -> bool {
-        let uninformed = !self.health.hears_all(now);
-        let in_time = self.cfg.cancel_ms.saturating_sub(LET_GO_MS);
-        self.lease.in_grace(now) && !(uninformed && now >= self.lease.renewed + at_most(in_time))
+    /// Whether the worker may be answered: what was cancelled of its tasks' jobs is known here up to a
+    /// moment from which its lease is over in time (`horizon.rs`), and its machine's seat is still
+    /// ours by then. If not, it is let go, for whoever owns that seat by now.
+    ///
+    /// (Found by the simulator: workers stayed with a node that heard nobody for its whole grace; and,
+    /// seed 1498, with one that heard a sibling again which knew as little, while the third had
+    /// cancelled a job and could not be heard. Found by the operators: a store that refused one
+    /// controller and then all, while workers still reported to that one.)
+    fn may_answer(&self, r: &Report, now: Now) -> bool {
+        let n = self.view.len();
+        let permits = |seat| self.horizons.permits(seat, now);
+        let home = seat_of_machine(&r.machine, n);
+        if (0..n).all(|i| permits(Seat(i as u8))) {
+            return true;
+        }
+        let listed = r.tasks.iter().filter_map(|t| Some(JobId(t.task?.job)));
+        let part = self.owned[home.0 as usize].as_ref().map(|o| &o.part);
+        let machine = self.names.find_machine(&r.machine);
+        let placed = part.zip(machine).map(|(p, m)| p.jobs_on(m)).into_iter().flatten();
+        permits(home) && listed.chain(placed).all(|j| permits(seat_of_job(j, n)))
+    }
+
+    /// Says once when workers are let go, and when they are answered again.
+    pub(super) fn note_let_go(&mut self, out: &mut Out) {
+        let now = out.now;
+        let seats = (0..self.view.len()).map(|i| Seat(i as u8));
+        let behind: Vec<Seat> = seats.filter(|&s| !self.horizons.permits(s, now)).collect();
+        let lets_go = !behind.is_empty() && self.owned.iter().any(Option::is_some);
+        if lets_go == std::mem::replace(&mut self.let_go, lets_go) {
+            return;
+        }
+        if !lets_go {
+            return out.log(1, "workers_answered", || "all cancellations are known again".into());
+        }
+        let of = |s: &Seat| {
+            let ms = self.horizons.behind_ms(*s, now);
+            format!("seat={} behind_ms={}", s.0, ms.map_or("ever".into(), |ms| ms.to_string()))
+        };
+        let what = behind.iter().map(of).collect::<Vec<_>>().join(" ");
+        out.log(1, "workers_let_go", || what);
     }
 
     pub(super) fn report(&mut self, out: &mut Out, req: ReqId, r: Box<Report>) {
@@ -72,10 +102,10 @@
     pub(super) fn judge(&mut self, out: &mut Out, r: &Report, via: Via) -> WorkerReply {
         let now = out.now;
         let seat = seat_of_machine(&r.machine, self.view.len());
-        let grace = self.may_answer(now);
+        let may = self.may_answer(r, now);
         let owner = self.view[seat.0 as usize].owner;
         let mut c = ctx!(self, out);
-        if let Some(o) = self.owned[seat.0 as usize].as_mut().filter(|_| grace) {
+        if let Some(o) = self.owned[seat.0 as usize].as_mut().filter(|_| may) {
             match o.part.report(&mut c, r, via) {
                 Some(a) => WorkerReply::Answer(a),
                 None => WorkerReply::Redirect(None),
--- a/crates/core/src/part/mod.rs
+++ b/crates/core/src/part/mod.rs
@@ -2,11 +2,10 @@
 use crate::ctx::Ctx;
 use crate::fleet::{Key, Machine, StopWish, TaskOn};
 use crate::hearing::Via;
-use crate::ids::{
-    seat_of_job, Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, BUYER_SEAT,
-};
+use crate::horizon::Horizons;
+use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Negotiation, Now, Seat, BUYER_SEAT};
 use crate::names::{Names, Room, Shape};
-use crate::seat::{at_least, GRACE_MS};
+use crate::seat::at_least;
 use leaddeal_wire::mesh::{AttemptRef, Phase, Pick, SeatMsg, TaskEvent};
 use leaddeal_wire::user::Priority;
 use leaddeal_wire::worker::{Answer, Direct, Report, TaskState, Why};
@@ -96,8 +95,6 @@
     freed: bool,
     /// When those with the most important shortage were told; the others follow.
     top_told_at: Option<Now>,
-    /// Jobs that are over, of seats whose owner is not heard: read from the store.
-    over: BTreeSet<JobId>,
     /// Machines with something to tell that can wait.
     lazy: BTreeSet<MachineIdx>,
     lazy_at: Now,
@@ -134,12 +131,13 @@
 }
 
 impl Part {
-    pub fn new(seat: Seat, epoch: Epoch, now: Now, seats: usize) -> Part {
+    /// `patience_ms`: an owner before us answers workers no longer than that after it lost the seat.
+    pub fn new(seat: Seat, epoch: Epoch, now: Now, seats: usize, patience_ms: u64) -> Part {
         Part {
             seat,
             epoch,
             since: now,
-            older_until: now + at_least(GRACE_MS),
+            older_until: now + at_least(patience_ms),
             machines: BTreeMap::new(),
             base: None,
             due: BTreeSet::new(),
@@ -159,7 +157,6 @@
             short: vec![Short::default(); seats],
             freed: false,
             top_told_at: None,
-            over: BTreeSet::new(),
             lazy: BTreeSet::new(),
             lazy_at: now,
         }
@@ -308,7 +305,7 @@
         }
         let over_at = m.lease_over_at(ctx.cfg.worker_lease_ms, older);
         self.weigh(ctx, idx, &failed, &ran_well);
-        self.stop_over(idx, now);
+        self.stop_over(idx, ctx.horizons, now);
         self.look_at(idx, over_at);
         self.freed |= freed;
         self.dirty.insert(idx);
@@ -390,10 +387,19 @@
                 self.release_holds(|h| h.seat == from && h.negotiation.0 == negotiation);
             }
             SeatMsg::Place { job, shape, picks, adopt } => {
-                self.line.leave(JobId(job));
+                let job = JobId(job);
+                self.line.leave(job);
+                ctx.horizons.goes_on(job, epoch);
                 let shape = ctx.names.shape(&shape);
                 for p in picks {
-                    self.place(ctx, from, JobId(job), &shape, &p, adopt);
+                    self.place(ctx, from, job, &shape, &p, adopt);
+                    if ctx.horizons.is_over(job) {
+                        // On its way since before the cancellation, which came another way.
+                        let (machine, session) = (p.machine, Some(p.session));
+                        let (task, attempt) = (p.task, p.attempt);
+                        let what = AttemptRef { job: job.0, task, attempt, machine, session };
+                        self.stop(ctx, &what, 0.0);
+                    }
                 }
             }
             SeatMsg::Stop { what, grace_s } => self.stop(ctx, &what, grace_s),
@@ -517,7 +523,6 @@
     /// The job's final state is written: whatever of it is here stops, told so by its
     /// coordinator or not.
     pub fn job_over(&mut self, ctx: &mut Ctx, job: JobId) {
-        self.over.insert(job);
         let here = (job, 0, Attempt(0))..=(job, u32::MAX, Attempt(u64::MAX));
         let mut all = Vec::new();
         for (&idx, m) in &self.machines {
@@ -535,19 +540,24 @@
 
     /// Stops what a machine reports of jobs that are over. (Found by the simulator: a task was
     /// reported only after its job's end had been read.)
-    fn stop_over(&mut self, idx: MachineIdx, now: Now) {
-        let Some(m) = self.machines.get_mut(&idx).filter(|_| !self.over.is_empty()) else { return };
+    fn stop_over(&mut self, idx: MachineIdx, horizons: &Horizons, now: Now) {
+        let Some(m) = self.machines.get_mut(&idx) else { return };
+        let mut stops = false;
         for (k, t) in m.tasks.iter_mut().filter(|(_, t)| t.stop.is_none() && !t.over()) {
-            if self.over.contains(&k.0) {
+            if horizons.is_over(k.0) {
                 t.stop = Some(StopWish { grace_s: 0.0, since: now });
+                stops = true;
             }
         }
-        m.recount();
+        if stops {
+            m.recount();
+        }
     }
 
-    /// The seat's owner is heard again, and tells by itself what is to stop.
-    pub fn hears(&mut self, seat: Seat, seats: usize) {
-        self.over.retain(|j| seat_of_job(*j, seats) != seat);
+    /// The jobs of which something is, or may be, on a machine.
+    pub fn jobs_on(&self, idx: MachineIdx) -> impl Iterator<Item = JobId> + '_ {
+        let m = self.machines.get(&idx);
+        m.into_iter().flat_map(|m| m.tasks.iter().filter(|(_, t)| !t.over()).map(|(k, _)| k.0))
     }
 
     /// Tells the coordinators what changed, and commands the workers.
--- a/crates/core/src/seat.rs
+++ b/crates/core/src/seat.rs
@@ -5,9 +5,6 @@
 pub const LEASE_MS: u64 = 4000;
 /// Between renewals.
 pub const RENEW_MS: u64 = 1000;
-/// How long after the last renewal a node still answers workers of its seats, so that their
-/// tasks outlive an outage of the state service. It starts nothing in that time.
-pub const GRACE_MS: u64 = 45_000;
 
 /// Clocks may differ by 0.05%; this is a safe factor, and the rounding of timers besides.
 pub fn at_most(ms: u64) -> u64 {
@@ -99,9 +96,9 @@
         self.id.is_some() && now < self.renewed + at_most(LEASE_MS)
     }
 
-    /// Workers may still be answered.
-    pub fn in_grace(&self, now: Now) -> bool {
-        self.id.is_some() && now < self.renewed + at_most(GRACE_MS)
+    /// For how long it has been in doubt.
+    pub fn in_doubt_ms(&self, now: Now) -> u64 {
+        now.saturating_sub(self.renewed + at_most(LEASE_MS))
     }
 }
 
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -29,6 +29,18 @@
     Faulty { machines: usize, ms: u64 },
     /// Users ask eight times as often.
     Polls { ms: u64 },
+    /// The state service refuses this controller alone.
+    Refuse { node: usize, ms: u64 },
+    /// Two controllers don't reach each other.
+    Between { nodes: (usize, usize), ms: u64 },
+    /// So many of a hundred transactions get no answer and are carried out 2 to 12 s later.
+    LateWrites { percent: u32, ms: u64 },
+    /// Of so many of a hundred reports a copy arrives again, up to half a minute later.
+    LateReports { percent: u32, ms: u64 },
+    /// Commands, or their answers, are held up for so long.
+    SlowOrders { by_ms: u64, ms: u64 },
+    /// Users cancel so many of a hundred of their jobs.
+    Cancel { percent: u32 },
     /// Nothing gets out of a zone or into it; what was sent is held back.
     CutZone { zone: &'static str, ms: u64 },
 }
--- a/crates/testkit/src/sim/users.rs
+++ b/crates/testkit/src/sim/users.rs
@@ -98,7 +98,8 @@
             one_zone: !spread && self.rng.random_bool(0.3),
             spread,
             spot: kind != Kind::Service,
-            estimate_s: f64::from(self.rng.random_range(1..9)),
+            estimate_s: f64::from(self.rng.random_range(1..9))
+                * if self.plan.long { 15.0 } else { 1.0 },
             checkpoint_s: if self.rng.random_bool(0.3) { 3.0 } else { 0.0 },
             save_s: 1.0,
             deadline_s: None,
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -339,6 +339,39 @@
     pub known: Vec<(u8, u8, u64)>,
     /// It can take users' requests.
     pub ready: bool,
+    /// When this was said; and the newest that was heard of the receiver: it was said after that.
+    pub stamp: Stamp,
+    pub echo: Option<Stamp>,
+    /// By seat: the sender has acted under no newer epoch than this, nor has a process of its before.
+    /// Empty: it has not read the seats' keys yet.
+    pub newest: Vec<u64>,
+    /// Of the seats that it acts for and knows all of.
+    pub words: Vec<Word>,
+    /// Up to which number it knows what was cancelled: seat, epoch, number.
+    pub heeded: Vec<(u8, u64, u64)>,
+}
+
+/// A moment by the clock of one process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize_tuple, Deserialize_tuple)]
+pub struct Stamp {
+    pub boot: u64,
+    pub at: u64,
+}
+
+/// What the owner of a seat says of its jobs that were cancelled.
+#[derive(Clone, Debug, Default, PartialEq, Serialize_tuple, Deserialize_tuple)]
+pub struct Word {
+    pub seat: u8,
+    pub epoch: u64,
+    /// For how long its lease has been in doubt; 0: it is not.
+    pub doubt_ms: u64,
+    /// Cancellations after the one with this number, up to that one; older ones are known, or were
+    /// over long ago.
+    pub after: u64,
+    pub upto: u64,
+    /// There are no more.
+    pub whole: bool,
+    pub cancelled: Vec<u64>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
