--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -15,6 +15,11 @@
 /// So long a watch for new jobs waits.
 const JOBS_WAIT_MS: u64 = 15_000;
 
+/// A record that does not decode silences only itself.
+fn unreadable(ctx: &mut Ctx, key: &str) {
+    ctx.out.log(0, "record_unreadable", || key.to_string());
+}
+
 impl Coordinator {
     /// Reads on: the next page, or what comes.
     pub(super) fn read_on(&mut self, ctx: &mut Ctx) {
@@ -29,10 +34,13 @@
             match self.load {
                 Load::Decisions => self.decisions.push(r),
                 Load::Jobs | Load::Ready => self.job_created(ctx, &r.key, &r.value),
-                Load::Runs => self.run_loaded(&r),
+                Load::Runs => self.run_loaded(ctx, &r),
             }
         }
         if !heard {
+            if let Some(what) = self.feed.in_vain() {
+                ctx.out.log(1, "records_refused", || what);
+            }
             return;
         }
         if self.feed.caught_up() && !self.ready() {
@@ -105,13 +113,20 @@
         ctx.wake = true;
     }
 
-    pub(super) fn run_loaded(&mut self, r: &Record) {
-        let Some((id, chunk)) = keys::run_of_key(&r.key) else {
-            return;
+    /// One that can't be read counts as nothing done: its tasks run again, and exit with `done`.
+    pub(super) fn run_loaded(&mut self, ctx: &mut Ctx, r: &Record) {
+        let found = keys::run_of_key(&r.key).map(|(id, chunk)| (self.jobs.get_mut(&id), chunk));
+        let read = match found {
+            Some((Some(j), chunk)) => {
+                j.stored.insert(chunk, r.version);
+                r.value.as_str().is_some_and(|t| j.done.add_chunk(chunk, t, j.wire.tasks))
+            }
+            // Of a job that is over.
+            Some((None, _)) => true,
+            None => false,
         };
-        if let (Some(j), Some(text)) = (self.jobs.get_mut(&id), r.value.as_str()) {
-            j.stored.insert(chunk, r.version);
-            j.done.add_chunk(chunk, text, j.wire.tasks);
+        if !read {
+            unreadable(ctx, &r.key);
         }
     }
 
@@ -120,6 +135,7 @@
     pub(super) fn take_decisions(&mut self, ctx: &mut Ctx) {
         for Record { key, value, .. } in std::mem::take(&mut self.decisions) {
             let Some(attempt) = value["a"].as_u64().map(Attempt) else {
+                unreadable(ctx, &key);
                 continue;
             };
             let round = self.next_round_id();
@@ -130,6 +146,7 @@
                 let (Some(job), Some(task), Some(machine), Some(session), Some(zone)) =
                     (p[0].as_u64(), p[1].as_u64(), p[2].as_str(), p[3].as_u64(), p[4].as_u64())
                 else {
+                    unreadable(ctx, &key);
                     continue;
                 };
                 let (id, task) = (JobId(job), task as u32);
--- a/crates/core/src/node/stored.rs
+++ b/crates/core/src/node/stored.rs
@@ -171,7 +171,10 @@
                 match result {
                     StoreResult::Item(Some(i)) => match keys::parse_final(&i.value) {
                         Some(f) => c.reply_state(req, 200, job_state(id, f)),
-                        None => c.reply_later(req, 503, 5),
+                        None => {
+                            c.out.log(0, "record_unreadable", || i.key);
+                            c.reply_later(req, 503, 5);
+                        }
                     },
                     StoreResult::Item(None) => match ask.0 {
                         Ask::Wrong(400) => c.reply_error(req, 400, "malformed", None),
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -9,8 +9,12 @@
 use leaddeal_wire::state::{Event, Item};
 use serde_json::Value;
 
-/// After a call that was refused or had no answer.
+/// After a call that was refused or had no answer; each further one in a row waits twice as long, up
+/// to the second figure.
 const AGAIN_MS: u64 = 300;
+const AGAIN_AT_MOST_MS: u64 = 1200;
+/// So many in a row are worth a line in the log, and twice as many another.
+const WORTH_TELLING: u32 = 8;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Reading {
@@ -31,6 +35,8 @@
     revision: u64,
     busy: bool,
     retry_at: Now,
+    /// Calls in a row that were refused or had no answer.
+    in_vain: u32,
 }
 
 /// A key that is there or was written.
@@ -45,7 +51,7 @@
     /// All there is, once.
     pub fn pages(prefix: String) -> Feed {
         let how = Reading::Page(None);
-        Feed { prefix, how, wait_ms: None, revision: 0, busy: false, retry_at: 0 }
+        Feed { prefix, how, wait_ms: None, revision: 0, busy: false, retry_at: 0, in_vain: 0 }
     }
 
     /// All there is, and then what is written.
@@ -63,6 +69,12 @@
         !matches!(self.how, Reading::Page(_))
     }
 
+    /// What to log, if the last call was one more in vain of many.
+    pub fn in_vain(&self) -> Option<String> {
+        let tell = self.in_vain >= WORTH_TELLING && self.in_vain.is_power_of_two();
+        tell.then(|| format!("prefix={} tries={}", self.prefix, self.in_vain))
+    }
+
     pub fn revision(&self) -> u64 {
         self.revision
     }
@@ -87,6 +99,7 @@
     /// Takes an answer; returns what it tells of.
     pub fn take(&mut self, now: Now, result: StoreResult) -> Vec<Record> {
         self.busy = false;
+        let tries = std::mem::take(&mut self.in_vain);
         match result {
             StoreResult::Page(p) => {
                 if self.how == Reading::Page(None) {
@@ -112,7 +125,8 @@
                 Vec::new()
             }
             _ => {
-                self.retry_at = now + AGAIN_MS;
+                self.in_vain = tries.saturating_add(1);
+                self.retry_at = now + (AGAIN_MS << tries.min(8)).min(AGAIN_AT_MOST_MS);
                 Vec::new()
             }
         }
@@ -156,6 +170,28 @@
         assert!(matches!(f.call(1000), Some(StoreCall::List { after: None, .. })), "all anew");
     }
 
+    /// A page that is refused time and again is asked for ever more rarely, and told of.
+    #[test]
+    fn what_is_refused_is_tried_again_with_longer_waits() {
+        let mut f = Feed::pages("d/".into());
+        let mut now = 0;
+        let mut calls = Vec::new();
+        while calls.len() < 8 {
+            now += 50;
+            if f.call(now).is_some() {
+                calls.push(now);
+                assert!(f.in_vain().is_none());
+                f.take(now, StoreResult::Refused);
+            }
+        }
+        let waits: Vec<u64> = calls.windows(2).map(|w| w[1] - w[0]).collect();
+        assert_eq!(waits[..4], [300, 600, 1200, 1200]);
+        assert_eq!(f.in_vain().as_deref(), Some("prefix=d/ tries=8"));
+        f.call(now + 5000);
+        f.take(now + 5000, page(&[], false, 3));
+        assert!(f.caught_up() && f.in_vain().is_none());
+    }
+
     #[test]
     fn a_feed_of_pages_ends() {
         let mut f = Feed::pages("d/".into());
--- a/crates/testkit/examples/days.rs
+++ b/crates/testkit/examples/days.rs
@@ -34,6 +34,8 @@
     gangs: String,
     /// Class of the largest arrays.
     arrays: String,
+    /// Within so many seconds the tasks of a cancelled job must be gone.
+    cancel_s: f64,
 }
 
 type Fault = (f64, &'static str, Vec<(&'static str, Value)>);
@@ -77,6 +79,70 @@
     (at, kind, what)
 }
 
+/// Of a transaction's or report's kind, that share is late.
+fn late(at: f64, kind: &'static str, share: f64, for_s: f64) -> Fault {
+    (at, kind, vec![("share", share.into()), ("for_s", for_s.into())])
+}
+
+/// The state service refuses a controller alone; with `peers` it loses the others, too.
+fn refused(at: f64, peers: bool, for_s: f64) -> Fault {
+    let mut what = cut(at, "from_state", for_s).2;
+    what.retain(|w| w.0 != "mode");
+    let mode = if peers { "hold" } else { "refuse" };
+    what.push(("mode", mode.into()));
+    if peers {
+        what.push(("from_peers", true.into()));
+    }
+    (at, "node_cut", what)
+}
+
+/// Two troubles at once: a controller that knows less than another which confirms cancellations, and then
+/// a state service that is down for longer than those may take. Most large arrays are cancelled here.
+fn gaps(s: &Site) -> Vec<(&'static str, Vec<Fault>)> {
+    let c = s.cancel_s;
+    let part = |share: f64| ((s.machines as f64 * share) as i64).max(1);
+    let gap = |at: f64, peers: bool, more_s: f64| {
+        [refused(at, peers, 14.0), outage(at + 2.0, c + more_s)]
+    };
+    let twice = |peers, more_s| {
+        let second = 70.0 + c + more_s + 12.0;
+        [gap(70.0, peers, more_s), gap(second, peers, more_s)].concat()
+    };
+    let apart = (70.5, "peers_refuse", vec![("for_s", Value::from(c))]);
+    let deaf = machines(75.0, "machine_deaf", part(0.1), Some(40.0));
+    vec![
+        ("own-gap", twice(false, 25.0)),
+        ("own-gap-alone", twice(true, 12.0)),
+        ("own-gap-short", twice(false, -8.0)),
+        ("own-gap-crash", [twice(false, 12.0), vec![crash(71.5, 1), crash(80.0, 1)]].concat()),
+        ("own-gap-apart", [twice(false, 12.0), vec![apart]].concat()),
+        (
+            "own-gap-late",
+            [
+                twice(false, 12.0),
+                vec![late(60.0, "late_writes", 0.3, 90.0), late(60.0, "late_reports", 0.3, 180.0)],
+            ]
+            .concat(),
+        ),
+        ("own-gap-frozen", [twice(false, 12.0), vec![freeze(71.0, 25.0)]].concat()),
+        (
+            "own-alone",
+            vec![refused(70.0, true, c + 15.0), crash(110.0, 1), refused(150.0, true, 20.0)],
+        ),
+        (
+            "own-late",
+            vec![
+                late(60.0, "late_writes", 0.2, 150.0),
+                late(60.0, "late_reports", 0.5, 150.0),
+                crash(90.0, 2),
+                roll(120.0, 9.0),
+                crash(170.0, 3),
+            ],
+        ),
+        ("own-deaf", vec![deaf, crash(80.0, 1), crash(100.0, 2), roll(130.0, 12.0)]),
+    ]
+}
+
 /// The operators' acceptance and the hard cases beside it. Fractions are of all machines.
 fn days(s: &Site) -> Vec<(&'static str, Vec<Fault>)> {
     let part = |share: f64| ((s.machines as f64 * share) as i64).max(1);
@@ -143,6 +209,18 @@
     ]
 }
 
+/// Most jobs of the largest arrays are cancelled, and run for longer than that may take.
+fn cancelled_jobs(s: &Site) -> Table {
+    let times = |n: f64| Value::from((s.cancel_s * n * 10.0).round() / 10.0);
+    let run_s = [("median", times(2.4)), ("p95", times(3.0)), ("max", times(3.4))];
+    let run_s: Table = run_s.map(|(k, v)| (k.to_string(), v)).into_iter().collect();
+    let mut t = Table::new();
+    t.insert("name".into(), s.arrays.as_str().into());
+    t.insert("cancelled".into(), 0.8.into());
+    t.insert("run_s".into(), run_s.into());
+    t
+}
+
 fn day(name: &str, seed: i64, faults: Vec<Fault>) -> Table {
     let mut faults = faults;
     faults.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -204,7 +282,10 @@
         let name = jobs.iter().find(named).and_then(|t| t.get("name")).and_then(Value::as_str);
         name.map(str::to_string).ok_or(format!("no [[jobs]] of kind {kind}"))
     };
-    Ok(Site { machines, zone, gangs: class("gang")?, arrays: class("array")? })
+    let (gangs, arrays) = (class("gang")?, class("array")?);
+    let workers = site.get("workers").and_then(|w| w.get("cancel_s"));
+    let cancel_s = workers.and_then(Value::as_float).ok_or("no workers.cancel_s")?;
+    Ok(Site { machines, zone, gangs, arrays, cancel_s })
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
@@ -233,9 +314,16 @@
             std::fs::copy(&f, cli.out.join(f.file_name().unwrap_or_default()))?;
         }
     }
-    for (i, (name, faults)) in days(&known).into_iter().enumerate() {
+    let plain = days(&known).into_iter().map(|d| (d, false));
+    let all = plain.chain(gaps(&known).into_iter().map(|d| (d, true)));
+    for (i, ((name, faults), gap)) in all.enumerate() {
         let path = cli.out.join(format!("{name}.toml"));
-        std::fs::write(&path, day(name, 700 + i as i64, faults).to_string())?;
+        let mut day = day(name, 700 + i as i64, faults);
+        if gap {
+            day.insert("duration_s".into(), (110.0 + 3.5 * known.cancel_s).into());
+            day.insert("jobs".into(), Value::Array(vec![cancelled_jobs(&known).into()]));
+        }
+        std::fs::write(&path, day.to_string())?;
         println!("{}", path.display());
     }
     Ok(())
--- a/crates/testkit/src/sim/faults.rs
+++ b/crates/testkit/src/sim/faults.rs
@@ -30,6 +30,7 @@
             Fault::Shut { node, ms } => self.shut[node] = self.now + ms,
             Fault::Lone { node, ms } => self.lone[node] = self.now + ms,
             Fault::Refuse { node, ms } => self.refused[node] = self.now + ms,
+            Fault::Flaky { percent, ms } => self.flaky = (percent, self.now + ms),
             Fault::Between { nodes, ms } => self.between = (nodes, self.now + ms),
             Fault::LateWrites { percent, ms } => self.late_writes = (percent, self.now + ms),
             Fault::LateReports { percent, ms } => self.late_reports = (percent, self.now + ms),
@@ -75,6 +76,7 @@
         (self.shut, self.lone, self.stalled) = (none.clone(), none.clone(), none);
         (self.apart_until, self.polls_until) = (0, 0);
         self.refused = vec![0; NODES];
+        self.flaky.1 = 0;
         self.between.1 = 0;
         (self.late_writes.1, self.late_reports.1, self.slow_orders.1) = (0, 0, 0);
         self.outage_until = self.outage_until.min(self.now);
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -85,6 +85,8 @@
     pub calm: u64,
     /// Tasks run for one to two minutes.
     pub long: bool,
+    /// In the store there are records from the beginning that do not decode, of each kind.
+    pub garbled: bool,
 }
 
 impl Plan {
@@ -107,6 +109,7 @@
             lease_ms: 8000,
             calm: 0,
             long: false,
+            garbled: false,
         }
     }
 
@@ -186,6 +189,7 @@
     lone: Vec<u64>,
     /// Until when the state service refuses it alone.
     refused: Vec<u64>,
+    flaky: (u32, u64),
     between: ((usize, usize), u64),
     late_writes: (u32, u64),
     late_reports: (u32, u64),
@@ -281,6 +285,7 @@
             shut: vec![0; NODES],
             lone: vec![0; NODES],
             refused: vec![0; NODES],
+            flaky: (0, 0),
             between: ((0, 1), 0),
             late_writes: (0, 0),
             late_reports: (0, 0),
@@ -441,7 +446,9 @@
                 }
             }
             Ev::Store(n, boot, op, call) => {
-                let refused = self.refuses(n);
+                let (percent, until) = self.flaky;
+                let flaky = self.now < until && self.rng.random_ratio(percent.min(100), 100);
+                let refused = flaky || self.refuses(n);
                 let cut = self.cut[n] || self.now < self.lone[n];
                 let mut result = if refused || cut {
                     if cut {
--- a/crates/testkit/src/sim/users.rs
+++ b/crates/testkit/src/sim/users.rs
@@ -1,17 +1,38 @@
 //! Users: what they submit, ask and cancel, and what is in the store from the beginning.
 use super::*;
+use serde_json::json;
 
 impl Sim {
     /// Puts jobs into the store as controllers before these would have left them.
     pub(super) fn preload(&mut self) {
-        if self.plan.open + self.plan.closed == 0 {
-            return;
-        }
-        self.state.page = 300;
         let put = |state: &mut State, key: String, value| {
             let change = Change::Put { key, value, lease: None };
             state.call(0, &StoreCall::Txn(Txn { conds: Vec::new(), changes: vec![change] }));
         };
+        if self.plan.garbled {
+            let wrong = [
+                json!(null),
+                json!(7),
+                json!("nonsense"),
+                json!([1, "x"]),
+                json!({"job": {"id": 5}, "at": "then", "a": -1}),
+                json!({"a": 9, "p": [[1], "x", [u64::MAX, -4, "n-000001", 1, 0], null]}),
+            ];
+            for (seat, (i, v)) in
+                (0..NODES as u8).flat_map(|s| wrong.iter().enumerate().map(move |w| (Seat(s), w)))
+            {
+                let id = JobId(700_000 + i as u64);
+                put(&mut self.state, keys::job_key(seat, id), v.clone());
+                put(&mut self.state, keys::run_key(seat, id, 1), v.clone());
+                put(&mut self.state, keys::final_key(seat, JobId(id.0 + 50)), v.clone());
+                let key = format!("{}{i}", keys::decision_prefix(seat));
+                put(&mut self.state, key, v.clone());
+            }
+        }
+        if self.plan.open + self.plan.closed == 0 {
+            return;
+        }
+        self.state.page = 300;
         for n in 0..self.plan.closed {
             let id = JobId(900_000 + n);
             let key = keys::final_key(seat_of_job(id, NODES), id);
