--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -9,6 +9,9 @@
 use leaddeal_wire::mesh::NodeMsg;
 use leaddeal_wire::worker::Report;
 
+/// The first words of all owners are heard within this time.
+const FIRST_WORDS_MS: u64 = 5000;
+
 /// A worker's report that was passed on to the owner of its machine's seat.
 #[derive(Debug)]
 pub(super) struct Passed {
@@ -44,7 +47,9 @@
         let now = out.now;
         let seats = (0..self.view.len()).map(|i| Seat(i as u8));
         let behind: Vec<Seat> = seats.filter(|&s| !self.horizons.permits(s, now)).collect();
-        let lets_go = !behind.is_empty() && self.owned.iter().any(Option::is_some);
+        // A process that has just begun has to hear of all first.
+        let acts = self.owned.iter().any(Option::is_some) && now >= self.started + FIRST_WORDS_MS;
+        let lets_go = !behind.is_empty() && acts;
         if lets_go == std::mem::replace(&mut self.let_go, lets_go) {
             return;
         }
