--- a/crates/testkit/tests/known.rs
+++ b/crates/testkit/tests/known.rs
@@ -16,11 +16,12 @@
 #[test]
 fn records_that_do_not_decode_silence_only_themselves() {
     let crash = (60_000, Fault::Crash { nodes: vec![0], back_ms: 9000 });
-    for seed in 1..=3 {
-        let (_, without) = known(seed, false, vec![crash.clone()]);
-        let (_, with) = known(seed, true, vec![crash.clone()]);
-        assert!(with * 10 > without * 8, "seed {seed}: {with} jobs over instead of {without}");
-    }
+    // One seed says little: with the same records it may be a fifth more or less.
+    let over = |garbled| -> usize {
+        (1..=8).map(|seed| known(seed, garbled, vec![crash.clone()]).1).sum()
+    };
+    let (without, with) = (over(false), over(true));
+    assert!(with * 10 > without * 8, "{with} jobs over instead of {without}");
 }
 
 /// A store that refuses most calls, while seats are loaded: what is asked for again comes in the end.
