--- /dev/null
+++ b/crates/core/src/fleet/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+fn report(session: u64, token: u64) -> Report {
+    Report {
+        machine: "n-000001".into(),
+        addr: String::new(),
+        type_name: "small".into(),
+        zone: "a".into(),
+        spot: false,
+        session,
+        seq: 1,
+        token,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+#[test]
+fn a_new_session_has_a_lease_of_its_own() {
+    let mut m = Machine::new(1000);
+    assert!(m.apply(&report(1, 5), Epoch(5), true, 2000));
+    let first = m.lease_over_at(8000, 0);
+    assert!(m.apply(&report(2, 5), Epoch(5), false, first - 10));
+    assert!(m.lease_over_at(8000, 0) >= first - 10 + 8000, "it may have begun just now");
+}
+
+/// A machine that lost power for a moment has a worker that knows no token: whoever owned its seat
+/// before may answer it again, and its lease is counted so.
+#[test]
+fn a_worker_that_forgot_our_token_is_not_sure_to_heed_us_alone() {
+    let mut m = Machine::new(0);
+    m.apply(&report(1, 5), Epoch(5), true, 1000);
+    assert!(m.confirmed);
+    m.apply(&report(2, 0), Epoch(5), true, 2000);
+    assert!(!m.confirmed && m.lease_over_at(8000, 40_000) > 48_000);
+}
+
+/// Guards a cancelled job's task against an owner whose lease is in doubt.
+#[test]
+fn in_doubt_nothing_is_started_and_stops_go_on() {
+    let mut m = Machine::new(0);
+    m.session = 1;
+    let key = |task| (JobId(7), task, Attempt(9));
+    m.tasks.insert(key(0), TaskOn::new(None, Phase::Decided, 1));
+    let mut runs = TaskOn::new(None, Phase::On(TaskState::Running), 1);
+    runs.stop = Some(StopWish { grace_s: 0.0, since: 0 });
+    m.tasks.insert(key(1), runs);
+    let ops = |m: &mut Machine, starts| -> Vec<(Op, u32)> {
+        m.orders(0, 9, starts).iter().map(|o| (o.op, o.task.task)).collect()
+    };
+    assert_eq!(ops(&mut m, false), [(Op::Stop, 1)]);
+    assert_eq!(ops(&mut m, true), [(Op::Start, 0), (Op::Stop, 1)]);
+}
--- /dev/null
+++ b/crates/core/src/health/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+fn beat(known: &[(u8, u8, u64)], ready: bool) -> Beat {
+    Beat { known: known.to_vec(), ready, ..Beat::default() }
+}
+
+#[test]
+fn only_the_word_of_every_sibling_proves_that_older_owners_let_go() {
+    let mut h = Health::new(NodeIdx(0), 3);
+    let (seat, epoch) = (Seat(1), Epoch(7));
+    h.beat(NodeIdx(1), &beat(&[(1, 0, 7)], true));
+    assert!(!h.all_know(seat, epoch), "the third said nothing");
+    h.beat(NodeIdx(2), &beat(&[(1, 2, 5), (0, 0, 9)], true));
+    assert!(!h.all_know(seat, epoch), "the third knows an older owner");
+    h.beat(NodeIdx(2), &beat(&[(1, 0, 7)], true));
+    assert!(h.all_know(seat, epoch));
+    // Held back, and out of its order: what was known is not forgotten.
+    h.beat(NodeIdx(2), &beat(&[(1, 2, 5)], true));
+    assert!(h.all_know(seat, epoch) && !h.all_know(seat, Epoch(8)));
+}
+
+#[test]
+fn who_is_heard_and_ready_serves() {
+    let mut h = Health::new(NodeIdx(0), 3);
+    h.beat(NodeIdx(1), &beat(&[], true));
+    assert!(!h.another_serves(10_000) && !h.hears_any(10_000));
+    h.hear(NodeIdx(2), 8000);
+    assert!(!h.another_serves(10_000) && h.hears_any(10_000));
+    h.hear(NodeIdx(1), 9000);
+    assert!(h.another_serves(10_000));
+    assert!(!h.another_serves(12_100) && !h.hears_any(12_100));
+}
--- /dev/null
+++ b/crates/core/src/jobs/tests.rs
@@ -0,0 +1,153 @@
+use super::*;
+use crate::names::Names;
+use crate::placed::Placement;
+use user::Priority;
+
+#[test]
+fn a_gang_waits_for_one_zone_until_that_has_nothing() {
+    let mut names = Names::default();
+    let mut j = Job::leftover(JobId(7), &mut names);
+    j.wire = user::Job {
+        class: "c".into(),
+        kind: Kind::Gang,
+        priority: Priority::Normal,
+        tasks: 4,
+        one_zone: true,
+        ..j.wire
+    };
+    assert!(!j.line(0).expect("a gang's").stands, "asks for the first time");
+    let room = [4, 4, 4];
+    j.refusals = 1;
+    j.aim_at(&[0, 2, 1], &room);
+    assert_eq!(j.target, Some(ZoneIdx(1)));
+    j.aim_at(&[3, 1, 0], &room);
+    assert_eq!(j.target, Some(ZoneIdx(1)), "what is kept for it there is not kept in vain");
+    assert!(j.line(0).expect("a gang's").stands);
+    j.aim_at(&[3, 0, 0], &room);
+    assert_eq!(j.target, Some(ZoneIdx(0)));
+    j.wire.tasks = 1;
+    j.aim_at(&[0, 0, 0], &room);
+    assert_eq!(j.target, None, "a lone task needs no zone to itself");
+    assert!(!j.line(0).expect("a gang's").stands);
+}
+
+/// Found by counting: with a fleet that was booting, asking in vain took most of the time.
+#[test]
+fn a_job_without_room_waits_to_be_told_and_asks_by_itself_less_and_less() {
+    let mut names = Names::default();
+    let mut j = Job::leftover(JobId(7), &mut names);
+    j.wire.priority = Priority::High;
+    let (mut now, mut tries) = (10_000, 0);
+    while now < 20_000 {
+        assert!(j.refused(now), "it was its own time to try");
+        (now, tries) = (j.not_before, tries + 1);
+    }
+    assert!((12..20).contains(&tries), "{tries} tries in 10 s");
+    assert!(j.refused(now));
+    j.room_somewhere(now + 10);
+    assert_eq!(j.not_before, now + 10, "told of room, it asks at once");
+    assert!(!j.refused(now + 20), "which is no try by itself");
+    assert!(j.not_before > now + 20);
+    j.not_before = now + 5000;
+    j.room_somewhere(now + 30);
+    assert_eq!(j.not_before, now + 5000, "after failures it waits all the same");
+}
+
+#[test]
+fn a_job_that_fails_everywhere_is_tried_rarely_and_one_that_met_a_bad_machine_is_not() {
+    let mut d = Doubt::default();
+    let at = |d: &mut Doubt, m, now, before| d.failed(MachineIdx(m), now, before);
+    for _ in 0..50 {
+        assert_eq!(at(&mut d, 1, 1000, 0), 1200, "all on one machine");
+    }
+    at(&mut d, 2, 1000, 0);
+    let first = at(&mut d, 3, 1000, 0);
+    assert!(d.in_doubt() && first > 2000);
+    assert_eq!(at(&mut d, 4, 1001, first), first.max(1001 + 2000), "one try, one wait");
+    let (mut now, mut tries) = (first, 0);
+    while now < 600_000 {
+        (now, tries) = (at(&mut d, 5, now, now), tries + 1);
+    }
+    assert!((10..20).contains(&tries), "{tries} tries in ten minutes, and never given up");
+    d.ran_well();
+    assert_eq!(at(&mut d, 1, now, now), now + 200);
+}
+
+#[test]
+fn a_job_of_one_zone_that_may_be_in_two_gets_no_more_tasks() {
+    use crate::ids::Seat;
+    let mut names = Names::default();
+    let mut j = Job::leftover(JobId(7), &mut names);
+    (j.wire.one_zone, j.wire.tasks) = (true, 9);
+    let zones = ["a", "b", "c"].map(String::from);
+    let placement = |zone| Placement {
+        attempt: Attempt(1),
+        machine: MachineIdx(0),
+        part: Seat(0),
+        session: 1,
+        zone: ZoneIdx(zone),
+        phase: mesh::Phase::Decided,
+        round: 1,
+        placed_at: 0,
+        sent_at: 0,
+        stop: None,
+        adopted: true,
+        team: None,
+    };
+    assert_eq!(j.zone_room(&zones), [9, 9, 9]);
+    j.placed.insert(0, placement(1));
+    assert_eq!(j.zone_room(&zones), [0, 9, 0]);
+    j.placed.insert(3, placement(0));
+    assert_eq!(j.zone_room(&zones), [0, 0, 0]);
+    j.placed.remove(3);
+    assert_eq!(j.zone_room(&zones), [0, 9, 0]);
+}
+
+/// Found on a day of our own: of gangs that had missed all aims each took itself for later than
+/// all others, so that none was ever first in line.
+#[test]
+fn gangs_that_missed_all_aims_keep_their_order() {
+    let mut names = Names::default();
+    let mut j = Job::leftover(JobId(7), &mut names);
+    j.wire.kind = Kind::Gang;
+    // When its turn was, as a part reckons it from what it is told.
+    let turn = |j: &Job, now: Now| {
+        let line = j.line(now).expect("a gang's");
+        (line.late, now.saturating_add_signed(line.due_ms))
+    };
+    let (older, younger) = (1_000_000, 1_005_000);
+    for now in [1_100_000, 1_900_000, 3_000_000] {
+        j.created = older;
+        let first = turn(&j, now);
+        j.created = younger;
+        assert!(first < turn(&j, now - 900), "asked earlier, and younger all the same");
+    }
+}
+
+/// A job older than the process must keep its age, or its order and urgency are lost.
+#[test]
+fn urgency_counts_from_the_submission() {
+    let mut names = Names::default();
+    let mut j = Job::leftover(JobId(7), &mut names);
+    let objective = |within_s| Objective {
+        kind: "wait".into(),
+        class: "c".into(),
+        within_s: Some(within_s),
+        share: Some(0.9),
+        times: None,
+    };
+    j.wire.class = "c".into();
+    j.starts = Aims::new(&[objective(80.0), objective(350.0)], 0.0).starts(&j.wire);
+    j.created = 1_000_000;
+    assert_eq!(j.urgency(1_050_000), (0, 1_080_000));
+    assert_eq!(j.urgency(1_100_000), (1, 1_350_000));
+    // One that has not begun comes first in the end, and then only until it has.
+    assert_eq!(j.turn(1_109_000), j.urgency(1_109_000));
+    assert_eq!(j.turn(1_200_000), (0, 1_110_000));
+    j.begun = Some(1_200_000);
+    assert_eq!(j.turn(1_200_000), j.urgency(1_200_000));
+    // A large one takes so long to be placed that it is due earlier.
+    j.wire.tasks = 25_000;
+    j.starts = Aims::new(&[objective(80.0), objective(350.0)], 4.0).starts(&j.wire);
+    assert_eq!(j.urgency(1_050_000), (1, 1_250_000));
+}
--- /dev/null
+++ b/crates/core/src/node/detour/tests.rs
@@ -0,0 +1,94 @@
+use super::*;
+
+const M: MachineIdx = MachineIdx(3);
+/// Of a worker: between two reports, until a report counts as lost, until it asks the next node,
+/// and its lease.
+const REPORT_MS: u64 = 2500;
+const TIMEOUT_MS: u64 = 4000;
+const NEXT_MS: u64 = 1000;
+const LEASE_MS: u64 = 12_000;
+
+/// Plays a worker that can't reach its owner; returns the longest time between two reports that
+/// were answered, and how many were sent on in vain.
+fn cut_off(d: &mut Detours, minutes: u64) -> (Now, u32) {
+    // Its last report to the owner that was answered, then one that was not.
+    let mut granted = 100_000;
+    let mut now = granted + REPORT_MS + TIMEOUT_MS + NEXT_MS;
+    let (mut longest, mut vain) = (0, 0);
+    while now < granted + minutes * 60_000 && now < 100_000 + minutes * 60_000 {
+        match d.way(M, true, 60_000, now) {
+            Way::Detour => {
+                longest = longest.max(now - granted);
+                granted = now;
+                now += REPORT_MS;
+            }
+            Way::Direct => {
+                vain += 1;
+                now += TIMEOUT_MS + NEXT_MS;
+            }
+        }
+    }
+    (longest, vain)
+}
+
+#[test]
+fn a_lease_outlasts_every_try_of_the_direct_way() {
+    let mut d = Detours::default();
+    let (longest, vain) = cut_off(&mut d, 10);
+    assert!(longest < LEASE_MS, "no answer for {longest} ms");
+    assert!((2..12).contains(&vain), "{vain} tries in ten minutes");
+    assert_eq!(d.count(100_000 + 600_000 + FORGET_MS), 0);
+}
+
+/// A worker somewhere in a bounded search: where its next report goes, and when it was answered.
+#[derive(Clone)]
+struct Step {
+    detours: Detours,
+    at_owner: bool,
+    granted: Now,
+    now: Now,
+}
+
+/// Every way in which the direct way can come and go over so many reports: as long as the sibling
+/// can be reached, no lease runs out. Returns how many histories there were.
+fn search(s: &Step, depth: u32) -> u64 {
+    assert!(s.now - s.granted < LEASE_MS, "no answer since {} at {}", s.granted, s.now);
+    if depth == 0 {
+        return 1;
+    }
+    let mut next = s.clone();
+    if !s.at_owner {
+        match next.detours.way(M, true, 60_000, s.now) {
+            Way::Detour => {
+                (next.granted, next.now) = (s.now, s.now + REPORT_MS);
+            }
+            // At once or after up to half a second.
+            Way::Direct => (next.at_owner, next.now) = (true, s.now + 500),
+        }
+        return search(&next, depth - 1);
+    }
+    let up = Step { granted: s.now, now: s.now + REPORT_MS, ..next.clone() };
+    let down = Step { at_owner: false, now: s.now + TIMEOUT_MS + NEXT_MS, ..next };
+    search(&up, depth - 1) + search(&down, depth - 1)
+}
+
+#[test]
+fn no_history_of_a_direct_way_that_comes_and_goes_ends_a_lease() {
+    let (at_owner, granted) = (true, 100_000);
+    let first = Step { detours: Detours::default(), at_owner, granted, now: granted + REPORT_MS };
+    let histories = search(&first, 32);
+    assert!(histories > 10_000, "{histories} histories");
+}
+
+#[test]
+fn who_can_reach_its_owner_is_sent_there() {
+    let mut d = Detours::default();
+    assert_eq!(d.way(M, false, 60_000, 1000), Way::Direct, "nothing to lose");
+    assert_eq!(d.way(M, true, 500, 80_000), Way::Direct, "its owner is new");
+    let n = MachineIdx(4);
+    assert_eq!(d.way(n, true, 60_000, 1000), Way::Detour);
+    assert_eq!(d.way(n, true, 60_000, 3500), Way::Direct, "with a fresh lease it is tried");
+    assert_eq!(d.way(n, true, 60_000, 90_000), Way::Detour, "much later it is in need again");
+    d.expire(90_000 + FORGET_MS);
+    assert!(d.visits.is_empty());
+}
--- /dev/null
+++ b/crates/core/src/part/offer/tests.rs
@@ -0,0 +1,90 @@
+use super::super::claims::Claim;
+use super::*;
+use crate::fleet::{StopWish, TaskOn};
+use crate::ids::{Attempt, Epoch, ImageIdx};
+use crate::names::Shape;
+use leaddeal_wire::cloud::{Catalog, MachineType};
+use leaddeal_wire::mesh::Phase;
+use leaddeal_wire::worker::TaskState;
+use std::sync::Arc;
+
+const GPU_TASK: (u64, u64, u64) = (10_000, 2000, 38_000);
+const WHOLE: Room = Room { cpu: 12_000, gpu: 2000, mem: 48_000 };
+
+fn shape(kind: Kind, cpu: u64) -> Shape {
+    let wire = WireShape {
+        kind,
+        priority: Priority::Production,
+        cpu,
+        gpu: 0,
+        mem: 1000,
+        types: None,
+        spot: false,
+        image: "i".into(),
+        image_gb: 1.0,
+        save_s: 0.0,
+        checkpoint_s: 0.0,
+        estimate_s: 0.0,
+    };
+    let wire = Arc::new(wire);
+    Shape { need: Room::of(&wire), image: ImageIdx(0), wire }
+}
+
+/// Found on a grown deployment: machines full of short tasks were filled with replicas.
+#[test]
+fn services_leave_gpu_room_whatever_short_tasks_run_now() {
+    let mut p = Part::new(Seat(0), Epoch(1), 1, 3, 19_000);
+    let service = shape(Kind::Service, 2000);
+    assert_eq!(p.spare(WHOLE, false, false).fits(service.need), 0, "not known yet");
+    p.gpu_work.insert(GPU_TASK, (1, Priority::Normal));
+    let mut m = Machine::new(1);
+    for (task, s) in [(0, shape(Kind::Array, 9000)), (1, service.clone())] {
+        let t = TaskOn::new(Some(s), Phase::On(TaskState::Running), 1);
+        m.tasks.insert((JobId(9), task, Attempt(1)), t);
+    }
+    m.recount();
+    let empty = p.lasting_room(MachineIdx(0), &Machine::new(1), WHOLE);
+    assert_eq!(p.spare(empty, false, false).fits(service.need), 1, "one beside it");
+    let later = p.lasting_room(MachineIdx(0), &m, WHOLE);
+    assert_eq!(p.spare(later, false, false).fits(service.need), 0);
+    assert!(p.spare(later, false, true).fits(service.need) > 0, "asked in vain for long");
+}
+
+/// Found by comparing traces: five claims on the room of one task that was being stopped.
+#[test]
+fn the_room_of_a_stopped_task_is_claimed_once() {
+    let mut names = Names::default();
+    let (name, zones) = ("small".to_string(), vec!["a".to_string()]);
+    let small = MachineType {
+        name,
+        zones,
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 1.0,
+        boot_s: 1.0,
+    };
+    names.set_catalog(Catalog { types: vec![small] });
+    let mut m = Machine::new(1);
+    m.kind = names.type_idx("small");
+    for task in 0..4 {
+        let mut t = TaskOn::new(Some(shape(Kind::Array, 1000)), Phase::Decided, 1);
+        t.stop = (task == 0).then_some(StopWish { grace_s: 0.0, since: 1 });
+        m.tasks.insert((JobId(9), task, Attempt(1)), t);
+    }
+    m.recount();
+    let mut p = Part::new(Seat(0), Epoch(1), 1, 3, 19_000);
+    let need = shape(Kind::Service, 1000).need;
+    let idx = MachineIdx(0);
+    let room = |p: &Part| {
+        let soon = p.free_with(m.stopping(), idx, &m, &names, JobId(u64::MAX), None);
+        soon.expect("known tasks").fits(need)
+    };
+    assert_eq!(room(&p), 1);
+    let claim = Claim { job: JobId(5), need, until: 9000, patient: false, rank: None };
+    p.claims.add(idx, claim);
+    assert_eq!(room(&p), 0);
+}
--- a/crates/core/src/preemption.rs
+++ b/crates/core/src/preemption.rs
@@ -51,22 +51,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn stops_only_lower_and_no_more_than_needed() {
-        let r = |cpu| Room { cpu, gpu: 0, mem: 0 };
-        let c = |key, priority, cpu, loss| Candidate { key, priority, need: r(cpu), loss };
-        let tasks = vec![
-            c(1, Priority::Normal, 2, 0),
-            c(2, Priority::Low, 1, 5),
-            c(3, Priority::Low, 2, 9),
-            c(4, Priority::High, 8, 0),
-        ];
-        let (v, _) = victims(r(0), r(2), Priority::High, tasks.clone()).expect("room to be made");
-        assert_eq!(v, vec![3], "the small one alone does not help, so it is spared");
-        assert!(victims(r(0), r(6), Priority::High, tasks.clone()).is_none());
-        assert!(victims(r(0), r(1), Priority::Low, tasks).is_none(), "never its own priority");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/leaddeal/src/link/tests.rs
@@ -0,0 +1,77 @@
+use super::*;
+use leaddeal_wire::mesh::Beat;
+
+/// A listener that swallows everything stands for a sibling that is gone unnoticed.
+#[tokio::test]
+async fn a_connection_without_signs_of_reading_is_made_anew() {
+    let l = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = l.local_addr().expect("its address").to_string();
+    let work = async {
+        let (boot, restarted) = (Boot::new(1), Arc::default());
+        let tx = dial("n-0".into(), addr, boot, restarted, Duration::from_millis(20));
+        let feed = tokio::spawn(async move {
+            while tx.send(NodeMsg::Beat(Beat::default())).await.is_ok() {
+                tokio::task::yield_now().await;
+            }
+        });
+        let mut hellos = Vec::new();
+        let mut kept = Vec::new();
+        for _ in 0..2 {
+            let (mut s, _) = l.accept().await.expect("a connection");
+            let mut buf = Vec::new();
+            read_frame(&mut s, &mut buf).await.expect("a frame");
+            hellos.push(ciborium::from_reader::<Hello, _>(&buf[..]).expect("a hello"));
+            kept.push(tokio::spawn(async move {
+                while read_frame(&mut s, &mut buf).await.is_some() {}
+            }));
+        }
+        feed.abort();
+        kept.iter().for_each(tokio::task::JoinHandle::abort);
+        hellos
+    };
+    let hellos = timeout(Duration::from_secs(20), work).await;
+    let hellos = hellos.expect("a second connection");
+    assert!(hellos[1].generation > hellos[0].generation, "the newer one is listened to");
+}
+
+/// A process started a moment after the one before it, with a clock that stepped back: it was
+/// not listened to for as long as it ran.
+#[tokio::test]
+async fn a_process_whose_clock_stepped_back_is_listened_to() {
+    let l = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = l.local_addr().expect("its address").to_string();
+    let (events, mut heard) = mpsc::channel(10);
+    let restarted: Arc<Notify> = Arc::default();
+    tokio::spawn(listen(l, events, [("n-0".to_string(), restarted.clone())].into()));
+    let start = |boot| {
+        let (boot, none) = (Boot::new(boot), Arc::default());
+        dial("n-0".into(), addr.clone(), boot, none, PATIENCE)
+    };
+    let epoch_of = |e: Option<Event>| match e {
+        Some(Event::Input(Input::Mesh { msg, .. })) => match *msg {
+            NodeMsg::Beat(b) => b.owned[0].1,
+            _ => 0,
+        },
+        _ => 0,
+    };
+    let beat = |epoch| NodeMsg::Beat(Beat { owned: vec![(0, epoch)], ..Beat::default() });
+    let before = start(1000);
+    before.send(beat(1)).await.expect("a link");
+    assert_eq!(epoch_of(heard.recv().await), 1);
+    let after = start(990);
+    let first = async {
+        loop {
+            let _ = after.try_send(beat(2));
+            let next = timeout(Duration::from_millis(50), heard.recv()).await;
+            if next.is_ok_and(|e| epoch_of(e) == 2) {
+                return;
+            }
+        }
+    };
+    timeout(Duration::from_secs(10), first).await.expect("it is heard");
+    timeout(Duration::from_secs(1), restarted.notified()).await.expect("it is another one");
+    // What the ended one left in the network says nothing any more.
+    let _ = before.send(beat(3)).await;
+    let late = timeout(Duration::from_millis(200), heard.recv()).await;
+    assert!(late.is_err() || late.is_ok_and(|e| epoch_of(e) == 2), "an outdated word");
+}
--- a/crates/testkit/src/served.rs
+++ b/crates/testkit/src/served.rs
@@ -97,35 +97,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn who_gets_less_than_half_is_named() {
-        let mut s = Served::default();
-        let line = |class, tasks, asked| {
-            let (team, started) = ("free".to_string(), BTreeSet::new());
-            Line { class, team, tasks, asked, begun: None, started }
-        };
-        for n in 0..20u32 {
-            s.jobs.insert(format!("wk-{n:06}"), line("array", n + 1, 1000));
-        }
-        s.jobs.insert("wk-000099".into(), line("gang", 2, 1000));
-        s.jobs.insert("wk-000100".into(), line("gang", 1, 900_000));
-        // All arrays but the largest are served whole, and those begin too late.
-        for n in 0..18u32 {
-            (0..=n).for_each(|t| s.starts(&format!("wk-{n:06}/{t}"), 2000));
-        }
-        s.starts("wk-000018/0", 2000 + LARGEST_MS);
-        s.starts("wk-000019/0", 2000 + LARGEST_MS);
-        let teams = BTreeSet::from(["free"]);
-        let under = |s: &Served| -> Vec<String> {
-            let all = s.shares(10_000, &teams).into_iter();
-            all.filter(Share::under_half).map(|x| x.who).collect()
-        };
-        let gang = ["class gang", "largest array", "largest array begun", "largest gang"];
-        assert_eq!(under(&s), [&gang[..], &["largest gang begun"]].concat());
-        s.gives_up("wk-000099");
-        assert_eq!(under(&s), ["largest array", "largest array begun"]);
-    }
-}
+mod tests;
