--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -65,6 +65,8 @@
 mod seats;
 mod siblings;
 mod stored;
+#[cfg(test)]
+mod tests;
 mod users;
 mod workers;
 
--- /dev/null
+++ b/crates/core/src/node/tests.rs
@@ -0,0 +1,110 @@
+//! A node by itself, fed by hand.
+use super::*;
+use leaddeal_wire::cloud::{Catalog, MachineType};
+use leaddeal_wire::state::{Change, Item, Page};
+
+fn settings() -> Settings {
+    let v = serde_json::json!({
+        "node_name": "n-0", "zone": "a",
+        "serve_on": "10.0.0.1:80", "mesh_addr": "10.0.0.1:81", "siblings": [],
+        "external": {"cloud": "10.2.0.2:1", "state": "10.2.0.1:1"},
+        "cluster": {
+            "count": 1, "zones": ["a"], "teams": [{"name": "free"}],
+            "workers": {"report_s": 1.5, "lease_s": 8.0, "gang_wait_s": 40.0,
+                        "gang_peer_s": 8.0, "cancel_s": 30.0},
+            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 8.0, "txn_ops": 12},
+            "cloud": {"rps": 5.0, "list_lag_s": 3.0},
+            "resources": {}
+        }
+    });
+    Settings::parse(&v.to_string()).expect("settings")
+}
+
+/// One seat, alone; what it asked of the store last.
+struct World {
+    node: Node,
+    now: Now,
+    asked: Vec<(u64, crate::io::StoreCall)>,
+}
+
+impl World {
+    fn step(&mut self, input: Input) {
+        for o in self.node.step(self.now, self.now, input) {
+            match o {
+                Output::Store { op, call } => self.asked.push((op, call)),
+                Output::Cloud { op, call: CloudCall::Catalog } => {
+                    let small = MachineType {
+                        name: "small".into(),
+                        zones: vec!["a".into()],
+                        cpus: 4.0,
+                        gpus: 0.0,
+                        memory_gb: 16.0,
+                        cache_gb: 50.0,
+                        fetch_gb_per_s: 1.0,
+                        price: 1.0,
+                        spot_price: 1.0,
+                        boot_s: 1.0,
+                    };
+                    let result = CloudResult::Catalog(Catalog { types: vec![small] });
+                    self.step(Input::Cloud { op, result });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Answers all calls that `f` has an answer for, until there are no more; time passes.
+    fn answer(&mut self, f: impl Fn(&crate::io::StoreCall) -> Option<StoreResult>) {
+        for _ in 0..40 {
+            self.now += 100;
+            self.step(Input::Tick);
+            for (op, call) in std::mem::take(&mut self.asked) {
+                match f(&call) {
+                    Some(result) => self.step(Input::Store { op, result }),
+                    None => self.asked.push((op, call)),
+                }
+            }
+        }
+    }
+}
+
+/// The acquisitions of the seat that were asked for: the version that its key should have.
+fn acquires(call: &crate::io::StoreCall) -> Option<u64> {
+    let crate::io::StoreCall::Txn(t) = call else { return None };
+    let puts = t.changes.iter().any(|c| matches!(c, Change::Put { key, .. } if key == "seat/0"));
+    puts.then(|| t.conds.iter().find(|c| c.key == "seat/0").map_or(0, |c| c.version))
+}
+
+/// Rounds and attempts are numbered within an epoch, and what gave the seat back may be executed late: it
+/// was owned again under the same epoch once the store still listed it.
+#[test]
+fn an_epoch_that_was_given_up_is_never_acted_under_again() {
+    use crate::io::StoreCall;
+    let node = Node::new(&settings(), 77, 1000);
+    let mut w = World { node, now: 1000, asked: Vec::new() };
+    let listed = |prefix: &str| {
+        let value = serde_json::json!({"node": "n-0", "boot": 77});
+        let key = "seat/0".to_string();
+        let items = match prefix {
+            "seat/" => vec![Item { key, value, version: 7, lease: Some(1) }],
+            _ => Vec::new(),
+        };
+        StoreResult::Page(Page { items, more: false, revision: 9 })
+    };
+    let store = |call: &StoreCall| match call {
+        StoreCall::NewLease { .. } => Some(StoreResult::Lease(1)),
+        StoreCall::Touch { .. } => Some(StoreResult::Touched),
+        StoreCall::List { prefix, .. } => Some(listed(prefix)),
+        _ => None,
+    };
+    w.answer(store);
+    assert_eq!(w.node.owned_seats(), [(Seat(0), Epoch(7))], "its own, as listed");
+    let mut out = Out { now: w.now, list: Vec::new(), looked: 0 };
+    w.node.drop_seat(&mut out, Seat(0));
+    w.node.view_known = false;
+    w.asked.clear();
+    w.answer(store);
+    assert!(w.node.owned_seats().is_empty(), "listed again, it was given up");
+    let asked: Vec<u64> = w.asked.iter().filter_map(|(_, c)| acquires(c)).collect();
+    assert_eq!(asked.first(), Some(&7), "it is acquired anew, under a new epoch");
+}
--- a/crates/core/src/part/tests.rs
+++ b/crates/core/src/part/tests.rs
@@ -92,7 +92,7 @@
 fn report(machine: &str, seq: u64) -> Report {
     Report {
         machine: machine.into(),
-        addr: String::new(),
+        addr: "10.9.0.1:1".into(),
         type_name: "big".into(),
         zone: "a".into(),
         spot: false,
@@ -264,3 +264,32 @@
     let proven = lost_at(Some(3000)).expect("lost in the end");
     assert!((3000 + LEASE_MS..3000 + LEASE_MS + 1000).contains(&proven), "at {proven}");
 }
+
+/// A yes that was on its way since before its job was cancelled, which was learned another way: it starts
+/// nothing, unless a newer owner says that the job goes on.
+#[test]
+fn a_yes_after_its_jobs_end_starts_nothing() {
+    let starts = |over: bool, epoch: u64| {
+        let mut w = World::new();
+        let mut p = Part::new(Seat(0), EPOCH, 1, 1, PATIENCE_MS);
+        w.at(1000, |c| {
+            p.report(c, &report("n-000001", 1), None);
+        });
+        if over {
+            w.horizons.cancelled(Seat(0), EPOCH, JobId(7), 1050);
+        }
+        let pick = Pick { task: 0, attempt: 3, machine: "n-000001".into(), session: 1 };
+        let shape = wanted(7, Kind::Array, 1, None).shape;
+        let place = SeatMsg::Place { job: 7, shape, picks: vec![pick], adopt: false };
+        let mut sent = 0;
+        w.at(1100, |c| {
+            p.handle(c, Seat(0), Epoch(epoch), place);
+            p.flush(c);
+            sent = c.out.list.iter().filter(|o| matches!(o, Output::Orders { .. })).count();
+        });
+        sent
+    };
+    assert_eq!(starts(false, EPOCH.0), 1);
+    assert_eq!(starts(true, EPOCH.0), 0, "it would start what is cancelled");
+    assert_eq!(starts(true, EPOCH.0 + 1), 1, "what was to be written never was");
+}
