A fold whose chunk was deleted meanwhile gives the seat up instead of asking for ever

Found on a second reading: a fold without an answer, then a conflict, reads back the key that it wrote; a cancellation of the same job may have deleted that, and the read was repeated without end, holding up all final states of the seat. Now the seat is given up and loaded anew.

--- a/crates/core/src/writes.rs
+++ b/crates/core/src/writes.rs
@@ -103,6 +103,9 @@
             StoreResult::Committed(revision) => Outcome::Done(*revision),
             // Nobody else writes that key: what is there is from this transaction.
             StoreResult::Item(Some(i)) if self.executed => Outcome::Done(i.version),
+            // Deleted meanwhile, by a cancellation of ours: what became of it can't be told any more.
+            // The seat is given up and loaded anew; asking on would hold up all that follows.
+            StoreResult::Item(None) if self.executed => Outcome::Fenced,
             StoreResult::Conflict(failed) if failed.contains(&keys::seat_key(self.seat)) => {
                 Outcome::Fenced
             }
--- a/crates/core/src/writes/tests.rs
+++ b/crates/core/src/writes/tests.rs
@@ -38,3 +38,15 @@
     let both = StoreResult::Conflict(vec!["d/0/7-1".into(), "seat/0".into()]);
     assert_eq!(w.take(0, &both), Outcome::Fenced);
 }
+
+/// Guards the final states of a seat against a fold whose chunk a cancellation deleted meanwhile.
+#[test]
+fn what_can_not_be_told_any_more_is_not_asked_for_without_end() {
+    let (mut w, mut b) = write();
+    w.call(5, &mut b);
+    w.take(5, &StoreResult::Unknown);
+    w.call(300, &mut b);
+    assert_eq!(w.take(300, &conflict("d/0/7-1")), Outcome::Open);
+    assert!(matches!(w.call(300, &mut b), Some(StoreCall::Get { .. })));
+    assert_eq!(w.take(305, &StoreResult::Item(None)), Outcome::Fenced);
+}
