--- a/crates/testkit/src/sim/plan.rs
+++ b/crates/testkit/src/sim/plan.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// A quiet run of more than four minutes with long tasks: nothing fails.
+    pub fn quiet(seed: u64) -> Plan {
+        let calm = Plan { seconds: 250, calm_seconds: 1, ..Plan::new(seed) };
+        Plan { faults: false, long_tasks: true, ..calm }
+    }
+
     /// Every controller ends twenty times within a minute, and is back within a second.
     pub fn storm(seed: u64) -> Plan {
         let mut rng = SmallRng::seed_from_u64(seed ^ STORM_SEED_MASK);
