Log: what holds back jobs that wait, and what kept machines from being offered

waiting_jobs counts the jobs that have waited for 30 s by the step that last held them back, offer_obstacles what participants' machines were refused for. Worked out once a minute from what is there; a job keeps how its last request ended, a participant nine counters.

--- a/crates/core/src/coordinator/decision.rs
+++ b/crates/core/src/coordinator/decision.rs
@@ -9,6 +9,7 @@
 use crate::guards::{holds, Guard};
 use crate::ids::{Attempt, Epoch, Negotiation, Shard, ZoneIdx};
 use crate::io::StoreResult;
+use crate::jobs::RequestOutcome;
 use crate::keys;
 use crate::placed::Placement;
 use crate::quota::shard_of_team;
@@ -187,6 +188,7 @@
         for choice in &decision.selected {
             if let Some(job) = self.jobs.get_mut(&choice.job) {
                 job.give_back(choice.task);
+                job.last_request = Some(RequestOutcome::DecisionNotWritten);
                 job.not_before = ctx.now + DECISION_RETRY_INTERVAL_MS;
                 self.unplaced_jobs.insert(choice.job);
             }
--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -46,6 +46,7 @@
 mod task_events;
 mod terminal_state;
 mod unmet_demand;
+mod wait_causes;
 
 pub use ownership::Ownership;
 
--- a/crates/core/src/coordinator/quota_admission.rs
+++ b/crates/core/src/coordinator/quota_admission.rs
@@ -48,6 +48,8 @@
     pub(super) team: u8,
     pub(super) request: AdmissionRequest,
     pub(super) admitted: Admitted,
+    /// What its team's limit grants this coordinator is known.
+    pub(super) grant_known: bool,
 }
 
 /// A pending job of a team with a limit, before admission.
@@ -115,7 +117,8 @@
                 yields_quota: self.yields_quota(&pending, ctx.now, &mut keeping),
             };
             let admitted = admission.admit(&request);
-            waiting.push(WaitingJob { id: pending.job.id, team, request, admitted });
+            let grant_known = statuses.contains_key(&team);
+            waiting.push(WaitingJob { id: pending.job.id, team, request, admitted, grant_known });
         }
         waiting
     }
--- a/crates/core/src/coordinator/quota_report.rs
+++ b/crates/core/src/coordinator/quota_report.rs
@@ -24,11 +24,11 @@
         self.quota.next_report_at = ctx.now + REPORT_INTERVAL_MS;
         let waiting = self.admit_waiting(ctx);
         self.quota.queue_heads = self.queue_heads(&waiting, ctx.now);
-        self.quota.waiting_jobs = waiting.iter().filter(|job| job.admitted.in_turn == 0).count();
         self.quota.report_serial += 1;
         self.quota.grants.clear();
         let serial = self.quota.report_serial;
         let usage = self.usage_report(ctx, &waiting);
+        self.quota.waiting = waiting;
         for shard in ctx.shards() {
             let message = ShardMessage::TeamUsage { serial, usage: usage.clone() };
             ctx.send(self.shard, shard, message);
@@ -90,7 +90,8 @@
             return None;
         }
         let preempted = std::mem::take(&mut self.quota.preempted_tasks);
-        let waiting = self.quota.waiting_jobs;
+        let over_quota = |job: &&WaitingJob| job.admitted.in_turn == 0;
+        let waiting = self.quota.waiting.iter().filter(over_quota).count();
         let mut words = vec![format!(
             "shard={} over_quota={waiting} preempted_in_team={preempted}",
             self.shard.0
--- a/crates/core/src/coordinator/quota_state.rs
+++ b/crates/core/src/coordinator/quota_state.rs
@@ -1,4 +1,5 @@
 //! What a coordinator keeps of the limits of teams between its rounds.
+use super::quota_admission::WaitingJob;
 use super::Coordinator;
 use crate::context::Context;
 use crate::guards::{holds, Guard};
@@ -21,8 +22,8 @@
     /// Number of the last report; only grants that answer it count.
     pub(super) report_serial: u64,
     pub(super) next_report_at: Timestamp,
-    /// Jobs that waited for their team's limit at the last report; for the log.
-    pub(super) waiting_jobs: usize,
+    /// Pending jobs of teams with a limit, at the last report; for the log.
+    pub(super) waiting: Vec<WaitingJob>,
     /// The first job of each queue, at the last report.
     pub(super) queue_heads: BTreeMap<TeamQueue, QueueHead>,
     /// Jobs for which lesser work of their team was preempted, since when.
--- a/crates/core/src/coordinator/selection.rs
+++ b/crates/core/src/coordinator/selection.rs
@@ -5,7 +5,7 @@
 use crate::context::Context;
 use crate::guards::{holds, Guard};
 use crate::ids::{JobId, Timestamp};
-use crate::jobs::Job;
+use crate::jobs::{Job, RequestOutcome};
 use crate::quota::admission::QuotaStatus;
 use leaddeal_wire::user::Kind;
 use std::collections::{BTreeMap, BTreeSet};
@@ -173,6 +173,7 @@
             return Some(covered);
         }
         job.reset_backoff();
+        job.last_request = Some(RequestOutcome::QuotaExceeded);
         job.preemption_turn = None;
         job.not_before = self.now + QUOTA_RETRY_INTERVAL_MS;
         let limited = QuotaLimitedJob { job: job.id, team: quota.team, tasks: found_room };
@@ -182,6 +183,11 @@
 
     /// The job has found no room, or a gang not enough.
     fn refuse(&self, item: usize, job: &mut Job, offered: &[u32], room: &[u32]) {
+        let found_some = offered.iter().any(|&count| count > 0);
+        job.last_request = Some(match found_some {
+            true => RequestOutcome::GangIncomplete,
+            false => RequestOutcome::NoOffer,
+        });
         let tried = job.record_unmet_demand(self.now);
         job.choose_target_zone(offered, room);
         // A participant that is making room keeps its turn; else it is the next one's.
@@ -206,6 +212,7 @@
             }
         }
         job.reset_backoff();
+        job.last_request = None;
         let step = u32::from(!self.is_preempting(item));
         job.preemption_turn =
             (count < wanted).then(|| job.preemption_turn.map_or(0, |turn| turn + step));
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -21,6 +21,7 @@
 mod urgency;
 mod zones;
 
+pub use backoff::RequestOutcome;
 pub use completion::{CompletedAttempt, CompletionProgress};
 pub use failure_suspicion::FailureSuspicion;
 pub use job::Job;
--- a/crates/core/src/jobs/backoff.rs
+++ b/crates/core/src/jobs/backoff.rs
@@ -17,6 +17,19 @@
 /// Between all later ones.
 const LATER_RETRY_INTERVAL_MS: u64 = 1200;
 
+/// Why a request for a job placed nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOutcome {
+    /// No participant had capacity for any of its tasks.
+    NoOffer,
+    /// There was capacity for some tasks of a gang.
+    GangIncomplete,
+    /// There was capacity, but its team's limit lets none of its tasks in.
+    QuotaExceeded,
+    /// The decision was not written.
+    DecisionNotWritten,
+}
+
 /// The retry state of a job whose demand is unmet.
 #[derive(Debug, Default)]
 pub struct PlacementBackoff {
--- a/crates/core/src/jobs/job.rs
+++ b/crates/core/src/jobs/job.rs
@@ -1,5 +1,5 @@
 //! One job: its tasks from submission to completion.
-use super::backoff::PlacementBackoff;
+use super::backoff::{PlacementBackoff, RequestOutcome};
 use super::wire_shape;
 use super::{CompletionProgress, FailureSuspicion, Objectives, Termination};
 use crate::guards::{holds, Guard};
@@ -39,6 +39,8 @@
     /// Not requested before this time.
     pub not_before: Timestamp,
     pub(super) backoff: PlacementBackoff,
+    /// Why its last request placed nothing; none: it placed something, or there was none.
+    pub last_request: Option<RequestOutcome>,
     /// Counts up to which participant is to preempt for it, one at a time; none: capacity was not
     /// short.
     pub preemption_turn: Option<u32>,
@@ -88,6 +90,7 @@
             unplaced: UnplacedTasks::default(),
             not_before: 0,
             backoff: PlacementBackoff::default(),
+            last_request: None,
             preemption_turn: None,
             preempting_at: None,
             target_zone: None,
--- a/crates/core/src/node/statistics.rs
+++ b/crates/core/src/node/statistics.rs
@@ -62,12 +62,18 @@
             let coordinator = active.coordinator.figures(context.now);
             let participant = active.participant.figures(&context);
             let served = active.coordinator.service_figures(context.now);
+            let obstacles = active.participant.obstacle_figures();
+            let waiting = active.coordinator.wait_figures(&context);
             let limits = active.coordinator.limit_figures(&context);
             effects.log(LogLevel::Info, "service_levels", || served);
             effects.log(LogLevel::Info, "coordinator", || coordinator);
             effects.log(LogLevel::Info, "participant", || participant);
-            if let Some(limits) = limits {
-                effects.log(LogLevel::Info, "quotas", || limits);
+            let optional =
+                [("quotas", limits), ("waiting_jobs", waiting), ("offer_obstacles", obstacles)];
+            for (event, figures) in optional {
+                if let Some(figures) = figures {
+                    effects.log(LogLevel::Info, event, || figures);
+                }
             }
         }
     }
--- a/crates/core/src/participant/figures.rs
+++ b/crates/core/src/participant/figures.rs
@@ -64,6 +64,13 @@
 }
 
 impl Participant {
+    /// A line of figures: what kept machines from being offered for jobs that got less than they asked
+    /// for, since it was last asked for. None: nothing did.
+    pub fn obstacle_figures(&mut self) -> Option<String> {
+        let counts = std::mem::take(&mut self.offer_obstacles);
+        Some(format!("shard={} {}", self.shard.0, counts.figures()?))
+    }
+
     /// A line of figures: machines with GPUs by what they are used for, and the gangs that wait.
     pub fn figures(&self, ctx: &Context) -> String {
         let needs: Vec<Resources> = self.gpu_demand.needs().collect();
--- a/crates/core/src/participant/machine_choice.rs
+++ b/crates/core/src/participant/machine_choice.rs
@@ -2,6 +2,7 @@
 use super::capacity_index::MachineGroup;
 use super::eligibility::EligibilityTable;
 use super::free_resources::GpuMachineAccess;
+use super::offer_obstacles::{ObstacleCounts, OfferObstacle};
 use super::queue_rank::QueueRank;
 use super::Participant;
 use crate::context::Context;
@@ -77,6 +78,15 @@
     incarnation: u64,
 }
 
+/// The machines for an item, and what kept others from being offered.
+#[derive(Debug, Default)]
+pub(super) struct MachineChoices {
+    /// The best first.
+    pub choices: Vec<Choice>,
+    /// Of the machines and groups that were looked at.
+    pub obstacles: ObstacleCounts,
+}
+
 impl Choice {
     /// The offer of `count` tasks' capacity on it.
     pub fn offer(&self, ctx: &Context, item: &Item, count: u32) -> Offer {
@@ -107,7 +117,7 @@
         kept_for_gangs: &mut KeptForGangs,
         item: &Item,
         shape: &Shape,
-    ) -> Vec<Choice> {
+    ) -> MachineChoices {
         let request = item.request;
         let priority = request.shape.priority;
         let none_kept = BTreeSet::new();
@@ -125,28 +135,33 @@
             kept_for_gangs,
             gpu_work_waits: self.gpu_demand.any_up_to(priority),
         };
-        let mut choices = Vec::new();
-        for group in self.capacity_index.groups() {
-            if let Some(group) = self.score_group(ctx, &search, group) {
-                self.add_choices(ctx, &search, &group, &mut choices);
+        let mut found = MachineChoices::default();
+        for group in self.capacity_index.groups().filter(|group| search.eligibility.allows(*group))
+        {
+            match self.score_group(ctx, &search, group) {
+                Ok(group) => self.add_choices(ctx, &search, &group, &mut found),
+                Err(obstacle) => found.obstacles.note(obstacle),
             }
         }
-        choices.sort_unstable();
-        choices
+        found.choices.sort_unstable();
+        found
     }
 
-    /// None: the item gets no machine of the group.
+    /// How machines of a group that the item may have suit it, or why it gets none of them.
     fn score_group(
         &self,
         ctx: &Context,
         search: &MachineSearch,
         group: MachineGroup,
-    ) -> Option<GroupScore> {
+    ) -> Result<GroupScore, OfferObstacle> {
         let request = search.request;
         let zone_room = request.zone_room.get(group.zone.0 as usize).copied().unwrap_or(0);
         let behind = |rank| self.gang_queue.is_behind(rank, group);
-        if !search.eligibility.allows(group) || zone_room == 0 || search.rank.is_some_and(behind) {
-            return None;
+        if zone_room == 0 {
+            return Err(OfferObstacle::ZoneRule);
+        }
+        if search.rank.is_some_and(behind) {
+            return Err(OfferObstacle::GangAhead);
         }
         let whole = ctx.names.resources_of_type(group.machine_type);
         // Machines that GPU work of any kind may use are the last resort.
@@ -158,11 +173,11 @@
         // Long work without GPUs would keep GPU work waiting that may not stop it.
         let long = request.shape.estimate_s > MAX_TASK_BESIDE_GPU_WORK_S;
         if gpu_waste == 2 && search.gpu_work_waits && long {
-            return None;
+            return Err(OfferObstacle::GpuWorkWaits);
         }
         let fetch_s = ctx.names.image_fetch_s(group.machine_type, request.shape.image_gb);
         let fetch_steps = ((fetch_s / FETCH_STEP_S) as u32).saturating_add(1);
-        Some(GroupScore { group, whole, gpu_waste, fetch_steps })
+        Ok(GroupScore { group, whole, gpu_waste, fetch_steps })
     }
 
     /// Adds as many machines of the group as could be taken, those with the image first.
@@ -171,7 +186,7 @@
         ctx: &mut Context,
         search: &MachineSearch,
         score: &GroupScore,
-        choices: &mut Vec<Choice>,
+        found: &mut MachineChoices,
     ) {
         let (image, min_cpu) = (search.shape.image, search.shape.need.cpu);
         let with_image = self.capacity_index.with_image(score.group, image, min_cpu);
@@ -185,18 +200,19 @@
             let Some(machine) = self.machines.get(&idx) else { continue };
             ctx.effects.machines_evaluated += 1;
             let seen_before = fetch_steps > 0 && machine.has_image(image);
-            if seen_before || search.kept_for_gangs.contains(&idx) {
+            if seen_before {
                 continue;
             }
-            let Some(free) = self.free_for_search(ctx, search, score, idx, machine) else {
-                continue;
+            let free = match self.free_for_search(ctx, search, score, idx, machine) {
+                Ok(free) => free,
+                Err(obstacle) => {
+                    found.obstacles.note(obstacle);
+                    continue;
+                }
             };
             let capacity = free.fits(search.shape.need);
-            if capacity == 0 {
-                continue;
-            }
             missing = missing.saturating_sub(capacity);
-            choices.push(Choice {
+            found.choices.push(Choice {
                 gpu_waste: score.gpu_waste,
                 fetch_steps,
                 negative_free_cpu: -(free.cpu as i64),
@@ -208,7 +224,7 @@
         }
     }
 
-    /// What an item may use of a machine. None: nothing.
+    /// What an item may use of a machine, enough for a task at least.
     fn free_for_search(
         &self,
         ctx: &Context,
@@ -216,14 +232,18 @@
         score: &GroupScore,
         idx: MachineIdx,
         machine: &Machine,
-    ) -> Option<Resources> {
-        let request = search.request;
+    ) -> Result<Resources, OfferObstacle> {
+        let (request, need) = (search.request, search.shape.need);
+        if search.kept_for_gangs.contains(&idx) {
+            return Err(OfferObstacle::KeptForGang);
+        }
         if !self.is_eligible(ctx, idx, machine, request, search.eligibility) {
-            return None;
+            return Err(OfferObstacle::NotEligible);
         }
-        let mut free = self.free(idx, machine, ctx.names, JobId(request.job), search.rank)?;
-        if free.fits(search.shape.need) == 0 {
-            return None;
+        let free = self.free(idx, machine, ctx.names, JobId(request.job), search.rank);
+        let mut free = free.unwrap_or_default();
+        if free.fits(need) == 0 {
+            return Err(self.capacity_obstacle(idx, machine, score.whole, need));
         }
         if score.gpu_waste > 0 && search.shape.wire.kind == Kind::Service {
             let lasting_free = self.lasting_free(idx, machine, score.whole);
@@ -231,7 +251,33 @@
             free.cpu = free.cpu.min(spare.cpu);
             free.mem = free.mem.min(spare.mem);
         }
-        Some(free)
+        match free.fits(need) {
+            0 => Err(OfferObstacle::GpuWorkWaits),
+            _ => Ok(free),
+        }
+    }
+
+    /// Why a machine does not have `need` free, less holds and reservations.
+    fn capacity_obstacle(
+        &self,
+        idx: MachineIdx,
+        machine: &Machine,
+        whole: Resources,
+        need: Resources,
+    ) -> OfferObstacle {
+        let Some(used) = machine.used() else { return OfferObstacle::NoCapacity };
+        let mut free = whole;
+        free.sub(used, 1);
+        if free.fits(need) == 0 {
+            return OfferObstacle::NoCapacity;
+        }
+        for hold in self.holds.on(idx) {
+            free.sub(hold.need, hold.count);
+        }
+        match free.fits(need) {
+            0 => OfferObstacle::Held,
+            _ => OfferObstacle::Reserved,
+        }
     }
 
     /// Machines that work of this priority keeps off: gangs of several tasks wait for their zone and
--- a/crates/core/src/participant/mod.rs
+++ b/crates/core/src/participant/mod.rs
@@ -33,6 +33,7 @@
 mod machine_choice;
 mod machine_registry;
 mod offer;
+mod offer_obstacles;
 mod preemption;
 mod queue_rank;
 mod release;
@@ -50,6 +51,7 @@
 use gpu_demand::GpuDemand;
 use holds::Holds;
 use inventory::InventoryPublisher;
+use offer_obstacles::ObstacleCounts;
 use reservations::Reservations;
 
 /// A heartbeat response, or a command batch, has at most this many commands.
@@ -100,6 +102,8 @@
     /// When a replica may next be moved.
     next_move_at: Timestamp,
     capacity_notices: CapacityNotices,
+    /// Met since the figures were last asked for.
+    offer_obstacles: ObstacleCounts,
     /// Machines with events that no coordinator acts on soon.
     deferred_machines: BTreeSet<MachineIdx>,
     /// When deferred events are next sent.
@@ -139,6 +143,7 @@
             gang_queue: GangQueue::default(),
             next_move_at: now,
             capacity_notices: CapacityNotices::new(shards),
+            offer_obstacles: ObstacleCounts::default(),
             deferred_machines: BTreeSet::new(),
             next_deferred_at: now,
         }
--- a/crates/core/src/participant/offer.rs
+++ b/crates/core/src/participant/offer.rs
@@ -2,7 +2,7 @@
 use super::eligibility::EligibilityTable;
 use super::gang_queue::WaitingGang;
 use super::holds::Hold;
-use super::machine_choice::{Choice, Item, KeptForGangs};
+use super::machine_choice::{Choice, Item, KeptForGangs, MachineChoices};
 use super::preemption::{PreemptionOutcome, PreemptionSearch};
 use super::queue_rank::QueueRank;
 use super::Participant;
@@ -143,12 +143,14 @@
         let request = item.request;
         let priority = request.shape.priority;
         let shape = ctx.names.shape(&request.shape);
-        let choices = self.choose_machines(ctx, &mut round.kept_for_gangs, item, &shape);
+        let MachineChoices { choices, obstacles } =
+            self.choose_machines(ctx, &mut round.kept_for_gangs, item, &shape);
         let mut zone_room = request.zone_room.clone();
         let missing = self.hold_choices(ctx, round, item, &shape, &choices, &mut zone_room);
         if missing == 0 {
             return;
         }
+        self.offer_obstacles.add(&obstacles);
         self.capacity_notices.note_shortage(round.from, priority);
         if request.preempt {
             self.preempt_for_item(ctx, round, item, &shape, zone_room, missing);
