What is left of a team's limit goes to a job that fits, for 5 of each 30 s in all coordinators at once

Cause: the first job of each of up to twelve queues kept what is not enough for it, each in its own rhythm and the next of the queue in its place while it yielded; what was left was shared in parts of a processor; and a job that once found no machine was counted as placeable nowhere until it was asked for again, which its limit prevented. Now all keep and fill at the same times by the wall clock, gaps are filled by the least need of each priority, whole, and old refusals are forgotten after 10 s. Looked for elsewhere: plan, admission and reports are the only places that keep a limit.

--- a/crates/core/src/coordinator/quota_admission.rs
+++ b/crates/core/src/coordinator/quota_admission.rs
@@ -6,6 +6,7 @@
 use crate::ids::{JobId, Timestamp};
 use crate::jobs::Job;
 use crate::quota::admission::{Admission, AdmissionRequest, Admitted};
+use crate::quota::phase::LimitPhase;
 use crate::stored::QuotaUse;
 use leaddeal_wire::mesh::QuotaAmount;
 use leaddeal_wire::user::Kind;
@@ -14,6 +15,8 @@
 /// A job that has found no machine during this time yields its quota: what it could take of its
 /// team's limit is left to others.
 const YIELD_AFTER_MS: u64 = 3000;
+/// That it found none is forgotten after this time.
+const UNMET_EVIDENCE_MS: u64 = 10_000;
 /// When the first such job of a queue keeps its quota all the same: nothing would ever be preempted
 /// for it otherwise.
 const KEEP_QUOTA_CYCLE: DutyCycle = DutyCycle { period_ms: 20_000, active_ms: 10_000 };
@@ -21,8 +24,6 @@
 const KEEP_QUOTA_PREEMPTING_CYCLE: DutyCycle = DutyCycle { period_ms: 60_000, active_ms: 40_000 };
 /// A participant that said that it preempts for a job counts as doing so for this time.
 const PREEMPTING_TIMEOUT_MS: u64 = 5000;
-/// When the first job of a queue keeps what becomes free until that is enough for it; else it yields.
-const QUEUE_HEAD_CYCLE: DutyCycle = DutyCycle { period_ms: 30_000, active_ms: 20_000 };
 /// A job for which lesser work of its team was preempted has this time to begin.
 const PREEMPTED_QUOTA_KEPT_MS: u64 = 15_000;
 
@@ -99,6 +100,7 @@
             return Vec::new();
         }
         let statuses = self.quota_statuses(ctx);
+        let phase = LimitPhase::at(ctx.wall_clock_ms);
         let mut admissions: BTreeMap<u8, Admission> = BTreeMap::new();
         let mut keeping = BTreeSet::new();
         let mut waiting = Vec::new();
@@ -108,13 +110,14 @@
             }
             let team = pending.team;
             let status = || statuses.get(&team).copied().unwrap_or_default();
-            let admission = admissions.entry(team).or_insert_with(|| Admission::new(status()));
+            let admission =
+                admissions.entry(team).or_insert_with(|| Admission::new(status()).in_phase(phase));
             let request = AdmissionRequest {
                 priority: pending.job.wire.priority,
                 task: pending.task,
                 count: pending.count(),
                 all_or_nothing: pending.is_gang(),
-                yields_quota: self.yields_quota(&pending, ctx.now, &mut keeping),
+                yields_quota: self.yields_quota(&pending, phase, ctx.now, &mut keeping),
             };
             let admitted = admission.admit(&request);
             let grant_known = statuses.contains_key(&team);
@@ -143,6 +146,7 @@
     fn yields_quota(
         &self,
         pending: &Pending,
+        phase: LimitPhase,
         now: Timestamp,
         keeping: &mut BTreeSet<TeamQueue>,
     ) -> bool {
@@ -150,15 +154,15 @@
         if job.failure_suspicion.is_suspected() {
             return true;
         }
-        let head = self.quota.queue_heads.get(&pending.queue()).filter(|head| head.job == job.id);
-        if head.is_some_and(|head| !QUEUE_HEAD_CYCLE.is_active(now - head.since)) {
-            return true;
-        }
         let unmet_ms = job.demand_unmet_ms(now).filter(|unmet_ms| *unmet_ms > YIELD_AFTER_MS);
+        // What was true of a job that was not asked for lately may have changed.
+        let unmet_ms = unmet_ms.filter(|_| job.was_refused_within(UNMET_EVIDENCE_MS, now));
         let Some(unmet_ms) = unmet_ms else { return false };
         let preempting = job.preempting_at.is_some_and(|at| now < at + PREEMPTING_TIMEOUT_MS);
         let cycle = if preempting { KEEP_QUOTA_PREEMPTING_CYCLE } else { KEEP_QUOTA_CYCLE };
-        let keeps = cycle.is_active(unmet_ms) && keeping.insert(pending.queue());
+        let keeps = phase == LimitPhase::Keeping
+            && cycle.is_active(unmet_ms)
+            && keeping.insert(pending.queue());
         !keeps && !self.keeps_preempted_quota(job.id, now)
     }
 
--- a/crates/core/src/coordinator/quota_report.rs
+++ b/crates/core/src/coordinator/quota_report.rs
@@ -1,15 +1,21 @@
 //! Reports to the teams' shards of what is used and wanted of the limits, and figures for the log.
 use super::quota_admission::WaitingJob;
-use super::quota_state::{limited_teams, QueueHead, TeamQueue};
+use super::quota_state::limited_teams;
 use super::Coordinator;
 use crate::context::Context;
 use crate::ids::Timestamp;
-use leaddeal_wire::mesh::{FirstInQueue, ShardMessage, TeamUsage};
+use crate::quota::phase::LimitPhase;
+use leaddeal_wire::mesh::{FirstInQueue, QuotaAmount, ShardMessage, TeamUsage};
 use std::collections::BTreeMap;
 
 /// Between two reports.
 const REPORT_INTERVAL_MS: u64 = 400;
 
+/// By what the least need is told: GPUs are scarcer than processors.
+fn size(need: QuotaAmount) -> (u64, u64) {
+    (need.gpu, need.cpu)
+}
+
 impl Coordinator {
     /// Reports to the teams' shards what is used and wanted, if it is time to.
     pub(super) fn report_team_usage(&mut self, ctx: &mut Context) {
@@ -23,7 +29,6 @@
         }
         self.quota.next_report_at = ctx.now + REPORT_INTERVAL_MS;
         let waiting = self.admit_waiting(ctx);
-        self.quota.queue_heads = self.queue_heads(&waiting, ctx.now);
         self.quota.report_serial += 1;
         self.quota.grants.clear();
         let serial = self.quota.report_serial;
@@ -35,22 +40,6 @@
         }
     }
 
-    /// The first job of each queue, and since when it is first.
-    fn queue_heads(
-        &self,
-        waiting: &[WaitingJob],
-        now: Timestamp,
-    ) -> BTreeMap<TeamQueue, QueueHead> {
-        let mut heads = BTreeMap::new();
-        for job in waiting {
-            let queue = (job.team, job.request.priority);
-            let known = self.quota.queue_heads.get(&queue).filter(|head| head.job == job.id);
-            let since = known.map_or(now, |head| head.since);
-            heads.entry(queue).or_insert(QueueHead { job: job.id, since });
-        }
-        heads
-    }
-
     /// What is used and wanted of the limit of each team that has one, in the order of the settings.
     fn usage_report(&self, ctx: &Context, waiting: &[WaitingJob]) -> Vec<TeamUsage> {
         let mut report: BTreeMap<u8, TeamUsage> =
@@ -60,26 +49,46 @@
                 usage.used = used;
             }
         }
-        for job in waiting {
+        let phase = LimitPhase::at(ctx.wall_clock_ms);
+        let (unplaceable, placeable): (Vec<_>, Vec<_>) =
+            waiting.iter().partition(|job| job.request.yields_quota);
+        for job in placeable.into_iter().chain(unplaceable) {
             if let Some(usage) = report.get_mut(&job.team) {
-                self.add_wanted(usage, job, ctx.now);
+                self.add_wanted(usage, job, phase, ctx.now);
             }
         }
         report.into_values().collect()
     }
 
-    fn add_wanted(&self, usage: &mut TeamUsage, waiting: &WaitingJob, now: Timestamp) {
+    /// Adds what a waiting job wants. The first of its priority is served whole: the first in turn, or
+    /// while gaps are filled the one that needs least, one that found no machine lately only if there is
+    /// no other.
+    fn add_wanted(
+        &self,
+        usage: &mut TeamUsage,
+        waiting: &WaitingJob,
+        phase: LimitPhase,
+        now: Timestamp,
+    ) {
         let request = waiting.request;
         let priority = request.priority as usize;
         let wanted = if request.yields_quota { &mut usage.unplaceable } else { &mut usage.wanted };
         wanted[priority] = wanted[priority].plus(request.task.times(request.count));
-        if usage.first[priority].is_some() || request.yields_quota {
-            return;
-        }
-        let job = self.jobs.get(&waiting.id);
-        let waited_ms = job.map_or(0, |job| now.saturating_sub(job.created));
         let need = request.task.times(if request.all_or_nothing { request.count } else { 1 });
-        usage.first[priority] = Some(FirstInQueue { need, waited_ms });
+        let known = usage.first[priority];
+        let is_first = match phase {
+            LimitPhase::Keeping => known.is_none() && !request.yields_quota,
+            LimitPhase::Filling => {
+                let least = known.is_none_or(|known| size(need) < size(known.need));
+                let only_choice = usage.wanted[priority] == QuotaAmount::default();
+                least && (!request.yields_quota || only_choice)
+            }
+        };
+        if is_first {
+            let job = self.jobs.get(&waiting.id);
+            let waited_ms = job.map_or(0, |job| now.saturating_sub(job.created));
+            usage.first[priority] = Some(FirstInQueue { need, waited_ms });
+        }
     }
 
     /// For the operators' log, if there are teams with limits: how many jobs wait for one, how many
--- a/crates/core/src/coordinator/quota_state.rs
+++ b/crates/core/src/coordinator/quota_state.rs
@@ -24,8 +24,6 @@
     pub(super) next_report_at: Timestamp,
     /// Pending jobs of teams with a limit, at the last report; for the log.
     pub(super) waiting: Vec<WaitingJob>,
-    /// The first job of each queue, at the last report.
-    pub(super) queue_heads: BTreeMap<TeamQueue, QueueHead>,
     /// Jobs for which lesser work of their team was preempted, since when.
     pub(super) preempted_for: BTreeMap<JobId, Timestamp>,
     /// Tasks that were preempted for others of their team since the last line of the log.
@@ -40,13 +38,6 @@
     pub(super) grant: TeamGrant,
 }
 
-/// The job that is first in a queue, and since when.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct QueueHead {
-    pub(super) job: JobId,
-    pub(super) since: Timestamp,
-}
-
 /// Teams with a limit, by their place in the settings.
 pub(super) fn limited_teams(ctx: &Context) -> BTreeMap<u8, QuotaAmount> {
     let teams = ctx.config.teams.iter().enumerate();
--- a/crates/core/src/jobs/backoff.rs
+++ b/crates/core/src/jobs/backoff.rs
@@ -37,6 +37,8 @@
     pub(super) failed_tries: u32,
     /// Since when no participant has had capacity for it.
     unmet_since: Option<Timestamp>,
+    /// When no participant had capacity for it the last time.
+    refused_at: Timestamp,
     /// When it is retried even if no participant reports freed capacity.
     next_retry_at: Timestamp,
 }
@@ -62,6 +64,7 @@
     /// if this was a retry by timer.
     pub fn record_unmet_demand(&mut self, now: Timestamp) -> bool {
         self.backoff.unmet_since.get_or_insert(now);
+        self.backoff.refused_at = now;
         let by_timer = now >= self.backoff.next_retry_at;
         if by_timer {
             self.backoff.failed_tries += 1;
@@ -78,6 +81,11 @@
         self.backoff.unmet_since.map(|since| now.saturating_sub(since))
     }
 
+    /// No participant had capacity for it, the last time within `ms`.
+    pub fn was_refused_within(&self, ms: u64, now: Timestamp) -> bool {
+        self.backoff.unmet_since.is_some() && now <= self.backoff.refused_at + ms
+    }
+
     /// A participant had capacity for it: the next unmet demand starts a new backoff.
     pub fn reset_backoff(&mut self) {
         self.backoff = PlacementBackoff::default();
--- a/crates/core/src/quota.rs
+++ b/crates/core/src/quota.rs
@@ -16,8 +16,12 @@
 use std::collections::BTreeMap;
 
 pub mod admission;
+pub mod phase;
 mod plan;
 
+use phase::LimitPhase;
+use plan::FirstThatLacks;
+
 /// The demand of a coordinator that has not reported for longer counts as none; its share stays
 /// counted.
 const REPORT_TIMEOUT_MS: u64 = 2000;
@@ -61,6 +65,7 @@
     /// The last report of each coordinator, by its shard.
     reports: BTreeMap<Shard, UsageReport>,
     shards: usize,
+    phase: LimitPhase,
 }
 
 impl QuotaManager {
@@ -71,9 +76,15 @@
             limits: teams.iter().map(limit).collect(),
             reports: BTreeMap::new(),
             shards,
+            phase: LimitPhase::default(),
         }
     }
 
+    /// What becomes of room that is not enough for the first job in turn, from now on.
+    pub fn set_phase(&mut self, phase: LimitPhase) {
+        self.phase = phase;
+    }
+
     /// A coordinator's report; returns what it may take in all. It gives up whatever it was granted
     /// beyond what it reports. None: from no shard, or no newer than the last report.
     pub fn report(
@@ -119,7 +130,11 @@
         let used = usages[asking].in_use();
         // What may be in use after a failover is counted in full, and can be more than the limit;
         // a grant never is. (Found by the simulator.)
-        let additional = plan::additional_shares(limit, &usages)[asking];
+        let lacking = match self.phase {
+            LimitPhase::Keeping => FirstThatLacks::Waits,
+            LimitPhase::Filling => FirstThatLacks::IsPassedOver,
+        };
+        let additional = plan::additional_shares(limit, &usages, lacking)[asking];
         let may = used.plus(additional).least(limit.minus(others));
         let share = may.most(used);
         debug_assert!(within_limit(limit, used, share, others), "more is granted than there is");
--- a/crates/core/src/quota/admission.rs
+++ b/crates/core/src/quota/admission.rs
@@ -6,6 +6,7 @@
 //! unmet demand or decides goes by it; the rest waits without cost.
 //!
 //! Invariant: what is let in now and counts is never more than the grant less what is used.
+use super::phase::LimitPhase;
 use leaddeal_wire::mesh::{ByPriority, QuotaAmount};
 use leaddeal_wire::user::Priority;
 
@@ -74,6 +75,7 @@
     now: QuotaAmount,
     in_turn: QuotaAmount,
     worth: QuotaAmount,
+    phase: LimitPhase,
 }
 
 /// How many tasks of the job this amount covers; of a gang all or none.
@@ -90,7 +92,12 @@
     /// Admission before the first job.
     pub fn new(status: QuotaStatus) -> Admission {
         let none = QuotaAmount::default();
-        Admission { status, now: none, in_turn: none, worth: none }
+        Admission { status, now: none, in_turn: none, worth: none, phase: LimitPhase::default() }
+    }
+
+    /// The same in this phase.
+    pub fn in_phase(self, phase: LimitPhase) -> Admission {
+        Admission { phase, ..self }
     }
 
     /// What would be left to this priority, less what is taken, if all lesser work was preempted.
@@ -111,7 +118,11 @@
         } else {
             // What the next task or gang lacks is kept for it, or smaller work would take it bit by
             // bit.
-            let kept = if job.all_or_nothing { job.count } else { now.max(1) };
+            let kept = match self.phase {
+                LimitPhase::Filling => now,
+                LimitPhase::Keeping if job.all_or_nothing => job.count,
+                LimitPhase::Keeping => now.max(1),
+            };
             self.now = self.now.plus(job.task.times(kept).least(free));
             self.in_turn = self.in_turn.plus(job.task.times(in_turn));
         }
--- a/crates/core/src/quota/plan.rs
+++ b/crates/core/src/quota/plan.rs
@@ -34,14 +34,17 @@
 
 /// What happens to the first job of a coordinator that needs more than what is left.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum FirstThatLacks {
+pub(super) enum FirstThatLacks {
     /// It gets nothing yet, and what is left is kept for it.
     Waits,
+    /// It gets nothing yet, and what is left goes to others.
+    IsPassedOver,
     /// It gets what is left.
     TakesPart,
 }
 
 /// A limit as it is shared out: the shares by the coordinators' places in the list of reports.
+#[derive(Clone)]
 struct Allocation {
     left: QuotaAmount,
     shares: Vec<QuotaAmount>,
@@ -70,6 +73,26 @@
         }
     }
 
+    /// The same in whole tasks of the size of each coordinator's first need at this priority: what is
+    /// not enough for any goes to the next priority. (Found by the simulator: the last processor of a
+    /// limit was shared by two coordinators whose tasks needed two each, beside others that needed one.)
+    fn share_whole_tasks(&mut self, priority: usize, usages: &[TeamUsage], wanted: &[QuotaAmount]) {
+        let mut fair = self.clone();
+        fair.share_fairly(wanted);
+        for (coordinator, usage) in usages.iter().enumerate() {
+            let Some(first) = usage.first[priority] else { continue };
+            let share = fair.shares[coordinator].minus(self.shares[coordinator]);
+            self.give(coordinator, first.need.times(share.fits(first.need) as u32));
+        }
+        for (coordinator, usage) in usages.iter().enumerate() {
+            let Some(first) = usage.first[priority] else { continue };
+            let share = fair.shares[coordinator].minus(self.shares[coordinator]);
+            if share != QuotaAmount::default() && first.need.within(self.left) {
+                self.give(coordinator, first.need);
+            }
+        }
+    }
+
     /// Serves the first job of each coordinator at this priority, the one that has waited longest
     /// first. Jobs larger than the limit are left out.
     fn give_to_first(
@@ -87,25 +110,35 @@
             .collect();
         firsts.sort_by_key(|(coordinator, first)| (Reverse(first.waited_ms), *coordinator));
         for (coordinator, first) in firsts {
-            let lacks = !first.need.within(self.left);
-            if lacks && lacking == FirstThatLacks::Waits {
-                self.left = self.left.minus(first.need);
-            } else {
-                self.give(coordinator, first.need);
+            match lacking {
+                _ if first.need.within(self.left) => self.give(coordinator, first.need),
+                FirstThatLacks::Waits => self.left = self.left.minus(first.need),
+                FirstThatLacks::IsPassedOver => {}
+                FirstThatLacks::TakesPart => self.give(coordinator, first.need),
             }
         }
     }
 }
 
-/// What each coordinator may take now beyond what it uses.
-pub(super) fn additional_shares(limit: QuotaAmount, usages: &[TeamUsage]) -> Vec<QuotaAmount> {
+/// What each coordinator may take now beyond what it uses. `lacking`: what becomes of first jobs that
+/// need more than what is left.
+pub(super) fn additional_shares(
+    limit: QuotaAmount,
+    usages: &[TeamUsage],
+    lacking: FirstThatLacks,
+) -> Vec<QuotaAmount> {
     let used = usages.iter().fold(QuotaAmount::default(), |sum, usage| sum.plus(usage.in_use()));
     let mut allocation = Allocation::new(limit.minus(used), usages.len());
     for priority in (0..PRIORITIES).rev() {
-        allocation.give_to_first(priority, limit, usages, FirstThatLacks::Waits);
+        allocation.give_to_first(priority, limit, usages, lacking);
         let wanted: Vec<QuotaAmount> =
             usages.iter().map(|usage| wanted_after_first(usage, priority)).collect();
-        allocation.share_fairly(&wanted);
+        match lacking {
+            FirstThatLacks::IsPassedOver => {
+                allocation.share_whole_tasks(priority, usages, &wanted);
+            }
+            _ => allocation.share_fairly(&wanted),
+        }
     }
     for priority in (0..PRIORITIES).rev() {
         let wanted: Vec<QuotaAmount> =
--- a/crates/core/src/quota/tests.rs
+++ b/crates/core/src/quota/tests.rs
@@ -136,6 +136,41 @@
 }
 
 /// One limit reached does not keep work from the other.
+/// A processor is left of the limit; the first job of the highest priority needs two. It is kept for that
+/// one, and given whole to a lesser one while gaps are filled, not in parts to those that need two.
+#[test]
+fn what_is_not_enough_for_the_first_goes_to_what_fits_while_gaps_are_filled() {
+    let asks = |used: u64, priority: usize, need: u64| {
+        let mut usage = told(used, 0);
+        usage.wanted[priority] = cpus(8000);
+        usage.first[priority] = Some(FirstInQueue { need: cpus(need), waited_ms: 90_000 });
+        usage
+    };
+    let (large, small) = (asks(4000, 3, 2000), asks(0, 2, 1000));
+    let mut shard = TeamShard::new(team(5.0, 0.0));
+    for (from, usage) in [(0, large), (1, small), (2, asks(0, 3, 2000))] {
+        shard.report(from, usage);
+    }
+    assert_eq!(shard.may(1, small), NONE, "it is kept for the first");
+    shard.quota.set_phase(phase::LimitPhase::Filling);
+    assert_eq!(shard.may(0, large), cpus(4000));
+    assert_eq!(shard.may(2, asks(0, 3, 2000)), NONE);
+    assert_eq!(shard.may(1, small), cpus(1000));
+}
+
+/// While gaps are filled, a coordinator keeps nothing for a job that its grant doesn't cover.
+#[test]
+fn admission_keeps_nothing_for_a_gang_while_gaps_are_filled() {
+    let gang = AdmissionRequest { all_or_nothing: true, ..asking(Priority::High, 2000, 2) };
+    let task = asking(Priority::Low, 1000, 1);
+    let status = standing(1000, 1000, [0; 4]);
+    for (phase, let_in) in [(phase::LimitPhase::Keeping, 0), (phase::LimitPhase::Filling, 1)] {
+        let mut admission = Admission::new(status).in_phase(phase);
+        assert_eq!(admission.admit(&gang).now, 0);
+        assert_eq!(admission.admit(&task).now, let_in, "{phase:?}");
+    }
+}
+
 #[test]
 fn limits_of_gpus_and_of_processors_are_apart() {
     let mut shard = TeamShard::new(team(10.0, 2.0));
