--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -158,6 +158,38 @@
     assert!(Settings::parse(&nan).is_err());
 }
 
+/// What happens: a controller whose settings give it 1e300 MB of memory panics at its start, since the bound of its
+/// buffers is more than a semaphore can count; one with a single file descriptor starts and accepts no connection.
+/// Why: `cluster.resources` is read and not checked. What showed it: `leaddeal check` says "good" of both.
+#[test]
+fn settings_with_impossible_resources_are_refused_by_their_key() {
+    let with = |resources: serde_json::Value| {
+        let mut settings: serde_json::Value = serde_json::from_str(SETTINGS).expect("JSON");
+        settings["cluster"]["resources"] = resources;
+        Settings::parse(&settings.to_string()).map(|_| ()).map_err(|e| e.to_string())
+    };
+    for possible in [
+        json!({}),
+        json!({"core_share": 0.0, "mem_mb": 0.0, "fd_limit": 0}),
+        json!({"core_share": 0.024, "mem_mb": 30, "fd_limit": 300}),
+        json!({"core_share": 64.0, "mem_mb": 1e9, "fd_limit": 10_000_000}),
+    ] {
+        assert_eq!(with(possible.clone()), Ok(()), "{possible}");
+    }
+    for (resources, key) in [
+        (json!({"mem_mb": 1e300}), "cluster.resources.mem_mb:"),
+        (json!({"mem_mb": -1.0}), "cluster.resources.mem_mb:"),
+        (json!({"core_share": -0.5}), "cluster.resources.core_share:"),
+        (json!({"core_share": 1e300}), "cluster.resources.core_share:"),
+        (json!({"fd_limit": 1}), "cluster.resources.fd_limit:"),
+        (json!({"fd_limit": 19}), "cluster.resources.fd_limit:"),
+        (json!({"fd_limit": u64::MAX}), "cluster.resources.fd_limit:"),
+    ] {
+        let error = with(resources.clone()).expect_err(key);
+        assert!(error.contains(key), "{resources}: {error}");
+    }
+}
+
 const SETTINGS: &str = r#"{"node_name": "n-0", "zone": "a", "serve_on": "10.0.0.1:80",
     "mesh_addr": "10.0.0.1:81", "siblings": [],
     "external": {"cloud": "10.0.0.9:1", "state": "10.0.0.9:2"},
