Settings with impossible resources are refused at the start by their key

Symptom: mem_mb of 1e300 panics at the start, fd_limit of 1 starts a controller that accepts no connection. Cause: cluster.resources was not checked. Looked for elsewhere: all other numbers of the settings that are used are checked; clock_off_ms and an objective's share are read and not used.

--- a/crates/wire/src/settings/checks.rs
+++ b/crates/wire/src/settings/checks.rs
@@ -14,6 +14,13 @@
 /// Processors and GPUs are counted in thousandths: with less than one, no task could run.
 const MIN_LIMIT: f64 = 0.001;
 
+/// Processors, or MB of memory, of a controller; beyond, its bounds can't be counted.
+const MAX_RESOURCE: f64 = 1e9;
+/// With fewer file descriptors a controller could not serve users, workers, siblings and services.
+pub(super) const MIN_FILE_DESCRIPTORS: usize = 20;
+/// File descriptors are counted by the system in 32 bits.
+pub(super) const MAX_FILE_DESCRIPTORS: usize = i32::MAX as usize;
+
 type Checked = Result<(), SettingsError>;
 
 fn wrong(field: &'static str, why: FieldError) -> Checked {
@@ -27,6 +34,7 @@
         self.check_zones()?;
         self.check_teams()?;
         self.check_rates_and_times()?;
+        self.check_resources()?;
         if self.params.state.txn_ops < MIN_TXN_OPS {
             return wrong("cluster.state.txn_ops", FieldError::TooFewTxnOps);
         }
@@ -86,6 +94,25 @@
         Ok(())
     }
 
+    /// What is not set is 0.
+    fn check_resources(&self) -> Checked {
+        let resources = &self.params.limits;
+        for (field, amount) in [
+            ("cluster.resources.core_share", resources.cpu_share),
+            ("cluster.resources.mem_mb", resources.memory_mb),
+        ] {
+            if !(0.0..=MAX_RESOURCE).contains(&amount) {
+                return wrong(field, FieldError::NotAResource(amount));
+            }
+        }
+        let possible = MIN_FILE_DESCRIPTORS..=MAX_FILE_DESCRIPTORS;
+        let descriptors = resources.max_connections;
+        if descriptors != 0 && !possible.contains(&descriptors) {
+            return wrong("cluster.resources.fd_limit", FieldError::FileDescriptors(descriptors));
+        }
+        Ok(())
+    }
+
     fn check_rates_and_times(&self) -> Checked {
         let (workers, state, cloud) =
             (&self.params.workers, &self.params.state, &self.params.cloud);
--- a/crates/wire/src/settings/error.rs
+++ b/crates/wire/src/settings/error.rs
@@ -1,5 +1,7 @@
 //! What can be wrong with the settings.
-use super::checks::{MAX_TEAMS, MAX_ZONES, MIN_TXN_OPS};
+use super::checks::{
+    MAX_FILE_DESCRIPTORS, MAX_TEAMS, MAX_ZONES, MIN_FILE_DESCRIPTORS, MIN_TXN_OPS,
+};
 use thiserror::Error;
 
 /// Why the settings can't be used.
@@ -58,6 +60,12 @@
         /// The team's name.
         team: String,
     },
+    /// Negative, not a number, or too large to be counted.
+    #[error("{0} is no amount")]
+    NotAResource(f64),
+    /// Too few for a controller to work, or more than a system has.
+    #[error("{0} is not between {MIN_FILE_DESCRIPTORS} and {MAX_FILE_DESCRIPTORS}")]
+    FileDescriptors(usize),
     /// Zero, negative, infinite or not a number.
     #[error("{0} must be a positive number")]
     NotPositive(f64),
