--- a/crates/core/src/coordinator/round.rs
+++ b/crates/core/src/coordinator/round.rs
@@ -70,7 +70,7 @@
             zone_room: job.zone_room(&ctx.names.zones),
             preempt: false,
             urgent: job.is_urgent(ctx.now),
-            may_use_gpu_machines: job.may_use_kept_machines(ctx.now),
+            may_use_gpu_machines: job.may_use_gpu_machines(ctx.now),
             queue_position,
         },
         preemption_turn: job.preemption_turn.filter(|_| makes_room),
--- a/crates/core/src/jobs/backoff.rs
+++ b/crates/core/src/jobs/backoff.rs
@@ -6,10 +6,6 @@
 /// A late service that no machine had capacity for during this time may use machines with GPUs.
 const GPU_MACHINES_ALLOWED_AFTER_MS: u64 = 9000;
 
-/// Any other job that no machine had capacity for during this time may use machines that are kept for
-/// gangs or GPU work. Below the 90 s that a job may wait beside capacity that fits.
-const KEPT_MACHINES_ALLOWED_AFTER_MS: u64 = 45_000;
-
 /// Between two retries of a job at low priority.
 const LOW_PRIORITY_RETRY_INTERVAL_MS: u64 = 1800;
 /// Between the first retries, and how many those are.
@@ -103,18 +99,11 @@
         }
     }
 
-    /// Whether it may use machines that are kept for gangs or GPU work that wait. A service that is late
-    /// and finds no machine may use any: users notice it sooner than GPU work that waits, and it is
-    /// moved to another machine later. Any other job may once it has found none for long. (Found by
-    /// the simulator: what is kept for work that can't have it yet stood idle for minutes beside jobs
-    /// that could use it.)
-    pub fn may_use_kept_machines(&self, now: Timestamp) -> bool {
-        let unmet_for = |min_ms| self.demand_unmet_ms(now).is_some_and(|ms| ms >= min_ms);
-        match self.wire.kind {
-            Kind::Service => {
-                self.urgency(now).missed_objectives > 0 && unmet_for(GPU_MACHINES_ALLOWED_AFTER_MS)
-            }
-            Kind::Array | Kind::Gang => unmet_for(KEPT_MACHINES_ALLOWED_AFTER_MS),
-        }
+    /// A service that is late and finds no machine may use any: users notice it sooner than GPU work
+    /// that waits, and it is moved to another machine later.
+    pub fn may_use_gpu_machines(&self, now: Timestamp) -> bool {
+        let late = self.urgency(now).missed_objectives > 0;
+        let long = self.demand_unmet_ms(now).is_some_and(|ms| ms >= GPU_MACHINES_ALLOWED_AFTER_MS);
+        self.wire.kind == Kind::Service && late && long
     }
 }
--- a/crates/core/src/participant/free_resources.rs
+++ b/crates/core/src/participant/free_resources.rs
@@ -1,7 +1,6 @@
 //! What is free on a machine for a job: now, soon, or once all that ends by itself has ended.
 use super::capacity_index::MachineGroup;
 use super::queue_rank::QueueRank;
-use super::reservations::Reservation;
 use super::Participant;
 use crate::ids::{JobId, MachineIdx};
 use crate::machine::Machine;
@@ -56,19 +55,6 @@
         self.free_with(Resources::default(), idx, machine, names, job, rank)
     }
 
-    /// The same for a job that may use what is reserved for work that waits for tasks to end by
-    /// themselves.
-    pub(super) fn free_with_kept(
-        &self,
-        idx: MachineIdx,
-        machine: &Machine,
-        names: &Names,
-        job: JobId,
-    ) -> Option<Resources> {
-        let blocks = |reservation: &Reservation| reservation.job != job && !reservation.waiting;
-        self.free_unless(blocks, Resources::default(), idx, machine, names)
-    }
-
     /// The same, once `freed` of what is used has become free. Holds and reservations count against
     /// that as well. (Found by comparing traces: taken off before it was added, they stopped at
     /// nothing, and the capacity of one stopped task was reserved over and over.)
@@ -80,20 +66,6 @@
         names: &Names,
         job: JobId,
         rank: Option<QueueRank>,
-    ) -> Option<Resources> {
-        let blocks = |reservation: &Reservation| reservation.blocks(job, rank);
-        self.free_unless(blocks, freed, idx, machine, names)
-    }
-
-    /// What is free on a machine, less holds and the reservations that `blocks` is true of, once
-    /// `freed` of what is used has become free.
-    fn free_unless(
-        &self,
-        blocks: impl Fn(&Reservation) -> bool,
-        freed: Resources,
-        idx: MachineIdx,
-        machine: &Machine,
-        names: &Names,
     ) -> Option<Resources> {
         let mut free = names.resources_of_type(machine.machine_type?);
         free.sub(machine.used()?, 1);
@@ -102,7 +74,7 @@
             free.sub(hold.need, hold.count);
         }
         let reservations = self.reservations.on(idx).iter();
-        for reservation in reservations.filter(|reservation| blocks(reservation)) {
+        for reservation in reservations.filter(|reservation| reservation.blocks(job, rank)) {
             free.sub(reservation.need, 1);
         }
         Some(free)
--- a/crates/core/src/participant/machine_choice.rs
+++ b/crates/core/src/participant/machine_choice.rs
@@ -44,9 +44,6 @@
     shape: &'a Shape,
     eligibility: &'a EligibilityTable,
     rank: Option<QueueRank>,
-    /// It has waited for so long that it may use what is kept for work that waits: for gangs, and for
-    /// GPU work.
-    uses_kept: bool,
     /// Machines that it keeps off for the sake of gangs.
     kept_for_gangs: &'a BTreeSet<MachineIdx>,
     /// There is GPU work of its priority or a lower one, which may not preempt it.
@@ -124,10 +121,7 @@
         let request = item.request;
         let priority = request.shape.priority;
         let none_kept = BTreeSet::new();
-        // A service would stay on what it is given, and has rules of its own.
-        let uses_kept = request.may_use_gpu_machines && request.shape.kind != Kind::Service;
-        let keeps_off = request.shape.kind == Kind::Array && request.shape.gpu == 0 && !uses_kept;
-        let kept_for_gangs = if keeps_off {
+        let kept_for_gangs = if request.shape.kind == Kind::Array && request.shape.gpu == 0 {
             let kept = kept_for_gangs.entry(priority);
             &*kept.or_insert_with(|| self.machines_kept_for_gangs(ctx, priority))
         } else {
@@ -138,7 +132,6 @@
             shape,
             eligibility: &item.eligibility,
             rank: item.rank,
-            uses_kept,
             kept_for_gangs,
             gpu_work_waits: self.gpu_demand.any_up_to(priority),
         };
@@ -167,7 +160,7 @@
         if zone_room == 0 {
             return Err(OfferObstacle::ZoneRule);
         }
-        if search.rank.is_some_and(behind) && !search.uses_kept {
+        if search.rank.is_some_and(behind) {
             return Err(OfferObstacle::GangAhead);
         }
         let whole = ctx.names.resources_of_type(group.machine_type);
@@ -179,8 +172,7 @@
         };
         // Long work without GPUs would keep GPU work waiting that may not stop it.
         let long = request.shape.estimate_s > MAX_TASK_BESIDE_GPU_WORK_S;
-        let keeps_off = search.gpu_work_waits && !search.uses_kept;
-        if gpu_waste == 2 && keeps_off && long {
+        if gpu_waste == 2 && search.gpu_work_waits && long {
             return Err(OfferObstacle::GpuWorkWaits);
         }
         let fetch_s = ctx.names.image_fetch_s(group.machine_type, request.shape.image_gb);
@@ -248,11 +240,7 @@
         if !self.is_eligible(ctx, idx, machine, request, search.eligibility) {
             return Err(OfferObstacle::NotEligible);
         }
-        let job = JobId(request.job);
-        let free = match search.uses_kept {
-            true => self.free_with_kept(idx, machine, ctx.names, job),
-            false => self.free(idx, machine, ctx.names, job, search.rank),
-        };
+        let free = self.free(idx, machine, ctx.names, JobId(request.job), search.rank);
         let mut free = free.unwrap_or_default();
         if free.fits(need) == 0 {
             return Err(self.capacity_obstacle(idx, machine, score.whole, need));
--- a/crates/wire/src/mesh/placement.rs
+++ b/crates/wire/src/mesh/placement.rs
@@ -47,8 +47,7 @@
     pub preempt: bool,
     /// More than a third of the time that its objective allows is over.
     pub urgent: bool,
-    /// It may take capacity that GPU work could use, and unless it is a service, what is kept for gangs
-    /// and GPU work that wait.
+    /// It may take capacity that GPU work could use.
     pub may_use_gpu_machines: bool,
     /// A gang's position in the gang queue.
     pub queue_position: Option<QueuePosition>,
