--- a/crates/core/src/coordinator/quota_report.rs
+++ b/crates/core/src/coordinator/quota_report.rs
@@ -74,7 +74,7 @@
         let request = waiting.request;
         let priority = request.priority as usize;
         let all = request.task.times(request.count);
-        let need = request.task.times(if request.all_or_nothing { request.count } else { 1 });
+        let need = request.task.times(request.next_count());
         let wanted = match waiting.claim {
             QuotaClaim::All => all,
             QuotaClaim::Next => need,
--- a/crates/core/src/quota/admission.rs
+++ b/crates/core/src/quota/admission.rs
@@ -36,6 +36,17 @@
     pub yields_quota: bool,
 }
 
+impl AdmissionRequest {
+    /// How many tasks run next: one, or the gang as a whole.
+    pub fn next_count(&self) -> u32 {
+        if self.all_or_nothing {
+            self.count
+        } else {
+            1
+        }
+    }
+}
+
 /// What a pending job keeps of its team's limit from those after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuotaClaim {
@@ -135,7 +146,7 @@
         if claim == QuotaClaim::Nothing {
             worth = worth.max(covered(self.free_in_turn(job.priority, self.worth), job));
         }
-        let next = if job.all_or_nothing { job.count } else { 1 };
+        let next = job.next_count();
         // What the next task or gang lacks is kept for it, or smaller work would take it bit by bit.
         let kept = match (claim, self.phase) {
             (QuotaClaim::Nothing, _) => 0,
--- a/crates/core/src/quota/tests.rs
+++ b/crates/core/src/quota/tests.rs
@@ -135,7 +135,6 @@
     assert_eq!(shard.may(1, told(0, 5000)), cpus(5000));
 }
 
-/// One limit reached does not keep work from the other.
 /// A processor is left of the limit; the first job of the highest priority needs two. It is kept for that
 /// one, and given whole to a lesser one while gaps are filled, not in parts to those that need two.
 #[test]
@@ -171,6 +170,7 @@
     }
 }
 
+/// One limit reached does not keep work from the other.
 #[test]
 fn limits_of_gpus_and_of_processors_are_apart() {
     let mut shard = TeamShard::new(team(10.0, 2.0));
