--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 # this only checks that the interpreter is there and compiles them.
 set -eu
 cd "$(dirname "$0")"
-for file in standin/*.py */case.py; do
+for file in standin/*.py */case.py withdrawn/*/case.py; do
   python3 -B -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
--- a/review/withdrawn/wrong_state/case.py
+++ b/review/withdrawn/wrong_state/case.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "standin"))
 import lab as stand
 
 FETCH_S = 5.0     # an image of 1.5 GB at 0.3 GB/s
