--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -44,6 +44,7 @@
 #[cfg(test)]
 mod tests;
 mod timers;
+mod unserved_shards;
 mod users;
 mod workers;
 
@@ -114,7 +115,7 @@
             relay_table: RelayTable::default(),
             terminal_states: TerminalStates::new(shards),
             timers: Timers::new(now),
-            statistics: Statistics::new(now),
+            statistics: Statistics::new(now, shards),
             store_answered_at: now,
             heartbeats_refused: false,
             needs_round: false,
@@ -151,6 +152,13 @@
             .collect()
     }
 
+    /// Returns how many tasks on the machines of the owned shards have a shape that is not known here, so
+    /// that their machines are not offered.
+    pub fn tasks_of_unknown_shape(&self) -> usize {
+        let owned = self.owned.iter().flatten();
+        owned.map(|active| active.participant.tasks_of_unknown_shape()).sum()
+    }
+
     /// Returns how often a machine was evaluated for a job since the start of the process. This is
     /// the work that grows with the size of the fleet.
     pub fn machines_evaluated(&self) -> u64 {
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -52,6 +52,11 @@
         self.owned.iter().map(|active| active.as_ref().and_then(assertion)).collect()
     }
 
+    /// Whether the owner is this process, as opposed to another node or an earlier process of this one.
+    pub(super) fn is_this_process(&self, owner: Owner) -> bool {
+        owner.node == self.shared.this_node && owner.boot == self.shared.boot
+    }
+
     /// Begins to act for the shard under that epoch, unless the epoch is out of date: this node
     /// already acts under it or a newer one, knows an owner with a newer one, or has relinquished it.
     pub(super) fn begin_ownership(&mut self, effects: &mut Effects, shard: Shard, epoch: Epoch) {
--- a/crates/core/src/node/shard_list.rs
+++ b/crates/core/src/node/shard_list.rs
@@ -138,7 +138,7 @@
             return;
         }
         self.shared.shard_views[shard.0 as usize].set_owner(owner, effects.now);
-        let is_this_process = owner.node == self.shared.this_node && owner.boot == self.shared.boot;
+        let is_this_process = self.is_this_process(owner);
         if is_this_process && self.shared.lease.is_valid(effects.now) {
             self.begin_ownership(effects, shard, owner.epoch);
         } else if !is_this_process && self.active_epoch(shard).is_some() {
--- a/crates/core/src/node/statistics.rs
+++ b/crates/core/src/node/statistics.rs
@@ -15,14 +15,18 @@
     next_log_at: Timestamp,
     /// By class of the write budget: the number of changes at the last log.
     logged_changes: [u64; WRITE_CLASSES.len()],
+    /// By shard: when the shard is logged as unserved, unless it is served by then; `None`: it is served
+    /// or has another owner.
+    pub(super) next_unserved_log_at: Vec<Option<Timestamp>>,
 }
 
 impl Statistics {
-    pub(super) fn new(now: Timestamp) -> Statistics {
+    pub(super) fn new(now: Timestamp, shards: usize) -> Statistics {
         Statistics {
             machines_evaluated: 0,
             next_log_at: now + STATISTICS_INTERVAL_MS,
             logged_changes: [0; WRITE_CLASSES.len()],
+            next_unserved_log_at: vec![None; shards],
         }
     }
 }
--- a/crates/core/src/node/timers.rs
+++ b/crates/core/src/node/timers.rs
@@ -106,6 +106,7 @@
     fn slow_tick(&mut self, effects: &mut Effects) {
         let now = effects.now;
         self.tick_statistics(effects);
+        self.log_unserved_shards(effects);
         self.terminal_states.revisions.sample(now, self.shared.config.cancel_ms);
         self.relay_table.expire(now);
         self.shared.horizons.expire(now);
--- a/crates/core/src/participant/machine_choice.rs
+++ b/crates/core/src/participant/machine_choice.rs
@@ -262,8 +262,8 @@
         }
     }
 
-    /// Returns which obstacle leaves less than `need` free on a machine: its tasks, the holds, or the
-    /// reservations.
+    /// Returns which obstacle leaves less than `need` free on a machine: its tasks, a task of unknown
+    /// shape, the holds, or the reservations.
     fn capacity_obstacle(
         &self,
         idx: MachineIdx,
@@ -271,7 +271,7 @@
         total: Resources,
         need: Resources,
     ) -> OfferObstacle {
-        let Some(used) = machine.used() else { return OfferObstacle::NoCapacity };
+        let Some(used) = machine.used() else { return OfferObstacle::UnknownShape };
         let mut free = total;
         free.sub(used, 1);
         if free.fit_count(need) == 0 {
--- a/crates/core/src/participant/offer_obstacles.rs
+++ b/crates/core/src/participant/offer_obstacles.rs
@@ -18,12 +18,14 @@
     Reserved,
     /// The free resources are held for open negotiations.
     Held,
-    /// The machine has too little free, or a task of unknown shape.
+    /// The machine has too little free.
     NoCapacity,
+    /// What is free is not known, since the coordinator of a task there has not sent the task's shape.
+    UnknownShape,
 }
 
 impl OfferObstacle {
-    const ALL: [OfferObstacle; 8] = [
+    const ALL: [OfferObstacle; 9] = [
         OfferObstacle::ZoneRule,
         OfferObstacle::GangAhead,
         OfferObstacle::GpuWorkWaits,
@@ -32,6 +34,7 @@
         OfferObstacle::Reserved,
         OfferObstacle::Held,
         OfferObstacle::NoCapacity,
+        OfferObstacle::UnknownShape,
     ];
 
     /// Returns the name under which the obstacle is logged.
@@ -45,6 +48,7 @@
             OfferObstacle::Reserved => "reserved",
             OfferObstacle::Held => "held",
             OfferObstacle::NoCapacity => "no_capacity",
+            OfferObstacle::UnknownShape => "unknown_shape",
         }
     }
 }
--- a/crates/core/src/participant/statistics.rs
+++ b/crates/core/src/participant/statistics.rs
@@ -74,7 +74,14 @@
         Some(format!("shard={} {}", self.shard.0, counts.statistics()?))
     }
 
-    /// Returns a log line with the number of machines, of GPU machines by their use, and of waiting gangs.
+    /// Returns how many tasks on the machines have a shape that their coordinators have not sent yet.
+    pub fn tasks_of_unknown_shape(&self) -> usize {
+        let tasks = self.machines.values().flat_map(|machine| machine.tasks.values());
+        tasks.filter(|task| !task.is_over() && task.shape.is_none()).count()
+    }
+
+    /// Returns a log line with the number of machines, of tasks of unknown shape, of GPU machines by their
+    /// use, and of waiting gangs.
     pub fn statistics(&self, ctx: &Context) -> String {
         let needs: Vec<Resources> = self.gpu_demand.needs().collect();
         let mut counts = GpuMachineCounts::default();
@@ -84,10 +91,11 @@
         }
         let GpuMachineCounts { busy, open, short_tasks, blocked, away, reserved } = counts;
         format!(
-            "shard={} machines={} gpu_busy={busy} gpu_open={open} gpu_short_tasks={short_tasks} \
+            "shard={} machines={} unknown_shapes={} gpu_busy={busy} gpu_open={open} gpu_short_tasks={short_tasks} \
              gpu_blocked={blocked} gpu_away={away} gpu_reserved={reserved} queued_gangs={}",
             self.shard.0,
             self.machines.len(),
+            self.tasks_of_unknown_shape(),
             self.gang_queue.len(),
         )
     }
