Act for acquired shards by comparing at every tick, not once on an event

Cause: ownership began only in the handlers of the acquisition's answer and of the watch's event, and only under a valid lease; both came to nothing when an outage began just after the commit. Now the handlers record the owner, and every tick compares it with the shards acted for. An acquisition under a lost lease can't count under the next: the keys are listed anew, answers name their lease, events older than a vacancy are ignored, one watch replaces another.

New rule 'unserved'. acquisition_is_learned_of_while_lease_is_uncertain failed before the mend: at 192000 ms: unserved: nobody acts for shard 1.

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -123,11 +123,16 @@
     /// The read of all shards' keys.
     ListShards,
     /// The watch on all shards' keys.
-    WatchShards,
+    WatchShards {
+        /// The number of the watch: a newer one replaces it.
+        number: u64,
+    },
     /// The transaction that makes this node the shard's owner.
     Acquire {
         /// The shard.
         shard: Shard,
+        /// The lease that the shard's key is bound to.
+        lease: Option<u64>,
     },
     /// The transaction that releases the shard.
     Release {
--- a/crates/core/src/node/lease.rs
+++ b/crates/core/src/node/lease.rs
@@ -83,9 +83,11 @@
     }
 
     /// Handles the loss of the lease, which the state service no longer knows: drops all shards, and
-    /// makes the request for a new lease due.
+    /// makes the request for a new lease due. The shards' keys are listed anew, because an acquisition
+    /// under the lost lease that this node has not learned of yet must not count under the new one.
     pub(super) fn lose_lease(&mut self, effects: &mut Effects) {
         self.shared.lease = Lease { next_call_at: effects.now, ..Lease::default() };
         self.drop_all(effects);
+        self.shard_list.relist_from(effects.now);
     }
 }
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -57,17 +57,25 @@
         owner.node == self.shared.this_node && owner.boot == self.shared.boot
     }
 
-    /// Begins to act for the shard under that epoch, unless the epoch is out of date: this node
-    /// already acts under it or a newer one, knows an owner with a newer one, or has relinquished it.
-    pub(super) fn begin_ownership(&mut self, effects: &mut Effects, shard: Shard, epoch: Epoch) {
+    /// Begins to act for each shard whose recorded owner is this process, but for which it does not act
+    /// yet. The recorded owners are compared with the owned shards at each tick, because the answer to
+    /// an acquisition may be lost, and the watch may report it while this node's lease is uncertain.
+    /// When only that report began the ownership, nobody acted for such a shard until the process ended.
+    fn act_for_acquired_shards(&mut self, effects: &mut Effects) {
+        for shard in self.shared.shards() {
+            let owner = self.shared.owner(shard);
+            if let Some(owner) = owner.filter(|owner| self.is_this_process(*owner)) {
+                self.begin_ownership(effects, shard, owner.epoch);
+            }
+        }
+    }
+
+    /// Begins to act for the shard under that epoch, unless this node already acts under it or a newer
+    /// one, or has relinquished it.
+    fn begin_ownership(&mut self, effects: &mut Effects, shard: Shard, epoch: Epoch) {
         let index = shard.0 as usize;
-        let owner = self.shared.owner(shard);
         let relinquished_epoch = self.acquisitions[index].relinquished_epoch;
-        // The second condition guards against a late answer of the store, after this node has learned
-        // of a newer owner.
         if self.active_epoch(shard).is_some_and(|active| active >= epoch)
-            || (is_enforced(Guard::OlderEpochNotOwned)
-                && owner.is_some_and(|owner| owner.epoch > epoch))
             || (is_enforced(Guard::RelinquishedEpochRejected) && epoch <= relinquished_epoch)
         {
             return;
@@ -76,8 +84,6 @@
         effects.log(LogLevel::Info, "shard_acquired", || {
             format!("shard={} epoch={}", shard.0, epoch.0)
         });
-        let owner = Owner { node: self.shared.this_node, boot: self.shared.boot, epoch };
-        self.shared.shard_views[index].set_owner(owner, effects.now);
         self.owned[index] = Some(self.new_active_shard(shard, epoch, effects.now));
         if shard == PROVISIONER_SHARD {
             let provisioner = Provisioner::new(epoch, effects.now);
@@ -146,15 +152,29 @@
         }
     }
 
-    /// Acquires vacant shards, and hands over shards that their home nodes have requested.
+    /// Begins to act for acquired shards, acquires vacant ones, and hands over shards that their home
+    /// nodes have requested.
     pub(super) fn tick_ownership(&mut self, effects: &mut Effects) {
-        let now = effects.now;
-        if !self.shard_list.is_known
-            || !self.shared.lease.is_valid(now)
-            || self.shared.names.catalog.is_empty()
-        {
+        if !self.shard_list.is_known || self.shared.names.catalog.is_empty() {
             return;
         }
+        let lease_valid = self.shared.lease.is_valid(effects.now);
+        if lease_valid || !is_enforced(Guard::AcquisitionNeedsValidLease) {
+            self.act_for_acquired_shards(effects);
+        }
+        if !lease_valid {
+            return;
+        }
+        self.acquire_vacant_shards(effects);
+        for shard in self.shared.shards() {
+            self.tick_handover(effects, shard);
+        }
+    }
+
+    /// Tries to acquire the shards that are vacant, or whose recorded owner is this node under an epoch
+    /// that it no longer acts under.
+    fn acquire_vacant_shards(&mut self, effects: &mut Effects) {
+        let now = effects.now;
         for shard in self.shared.shards() {
             let index = shard.0 as usize;
             let Some(version) = self.acquirable_version(shard, now) else { continue };
@@ -166,9 +186,6 @@
             }
             self.acquire(effects, shard, version);
         }
-        for shard in self.shared.shards() {
-            self.tick_handover(effects, shard);
-        }
     }
 
     /// Returns the version that the shard's key must have for an acquisition now (0: the key does not
@@ -216,36 +233,53 @@
         let key = keys::shard_key(shard);
         let node = self.shared.node_name(self.shared.this_node);
         let value = OwnerRecord { boot: self.shared.boot, node }.encode();
+        let lease = self.shared.lease.id;
         let transaction = Transaction {
             conditions: vec![Condition { key: key.clone(), version }],
-            changes: vec![Change::Put { key, value, lease: self.shared.lease.id }],
+            changes: vec![Change::Put { key, value, lease }],
         };
         self.shared.budget.spend(WriteClass::Ownership, 1);
         let mut context = self.shared.context(effects);
-        context.call_store(Operation::Acquire { shard }, StoreCall::Transaction(transaction));
+        context
+            .call_store(Operation::Acquire { shard, lease }, StoreCall::Transaction(transaction));
     }
 
-    /// Handles the answer to an acquisition. If another node has acquired the shard, the watch on the
-    /// shards' keys will report it.
+    /// Handles the answer to an acquisition under that lease. An answer that concerns an earlier lease
+    /// is ignored: the shard's key has ended with the lease. If another node has acquired the shard, the
+    /// watch on the shards' keys will report it.
     pub(super) fn on_acquisition_result(
         &mut self,
         effects: &mut Effects,
         shard: Shard,
+        lease: Option<u64>,
         result: &StoreResult,
     ) {
         self.shared.shard_views[shard.0 as usize].acquisition_in_flight = false;
+        if lease != self.shared.lease.id {
+            return;
+        }
         match result {
-            StoreResult::Committed(revision)
-                if self.shared.lease.is_valid(effects.now)
-                    || !is_enforced(Guard::AcquisitionNeedsValidLease) =>
-            {
-                self.begin_ownership(effects, shard, Epoch(*revision));
+            StoreResult::Committed(revision) => {
+                self.record_acquisition(shard, Epoch(*revision), effects.now);
+                self.tick_ownership(effects);
             }
             StoreResult::NoLease => self.lose_lease(effects),
             _ => {}
         }
     }
 
+    /// Records that this process has acquired the shard under that epoch, unless a newer owner is known
+    /// or the shard was vacant again since.
+    fn record_acquisition(&mut self, shard: Shard, epoch: Epoch, now: Timestamp) {
+        let owner = Owner { node: self.shared.this_node, boot: self.shared.boot, epoch };
+        let view = &mut self.shared.shard_views[shard.0 as usize];
+        if is_enforced(Guard::OlderEpochNotOwned) {
+            view.accept_claim(owner, now);
+        } else {
+            view.set_owner(owner, now);
+        }
+    }
+
     /// Begins the handover of a shard to its home node, which has requested it: the coordinator starts
     /// nothing new.
     pub(super) fn begin_handover(&mut self, shard: Shard, now: Timestamp) {
--- a/crates/core/src/node/shard_list.rs
+++ b/crates/core/src/node/shard_list.rs
@@ -17,7 +17,7 @@
 
 /// Progress of reading the shards' keys.
 ///
-/// Invariant: while they are known, a watch is in flight.
+/// Invariant: while they are known, the watch with the number `watch` is in flight.
 #[derive(Debug)]
 pub(super) struct ShardListState {
     /// Whether the keys were listed and every change since then was watched.
@@ -25,17 +25,29 @@
     /// The keys are not listed before this time.
     next_list_at: Timestamp,
     list_in_flight: bool,
+    /// Whether the list in flight was requested before the time from which the keys are to be read again.
+    is_list_outdated: bool,
+    /// Number of the newest watch. Answers of older ones are ignored.
+    watch: u64,
 }
 
 impl ShardListState {
     pub(super) fn new(now: Timestamp) -> ShardListState {
-        ShardListState { is_known: false, next_list_at: now, list_in_flight: false }
+        ShardListState {
+            is_known: false,
+            next_list_at: now,
+            list_in_flight: false,
+            is_list_outdated: false,
+            watch: 0,
+        }
     }
 
-    /// Schedules a new list of the shards' keys at that time.
+    /// Schedules a new list of the shards' keys at that time. A list that is in flight already does not
+    /// count, because it may show an older state.
     pub(super) fn relist_from(&mut self, at: Timestamp) {
         self.is_known = false;
         self.next_list_at = at;
+        self.is_list_outdated = self.list_in_flight;
     }
 }
 
@@ -54,6 +66,9 @@
     /// Handles the list of the shards' keys, and starts the watch.
     pub(super) fn on_shard_list(&mut self, effects: &mut Effects, result: &StoreResult) {
         self.shard_list.list_in_flight = false;
+        if std::mem::take(&mut self.shard_list.is_list_outdated) {
+            return;
+        }
         let StoreResult::Page(page) = result else {
             self.shard_list.next_list_at = effects.now + LIST_RETRY_DELAY_MS;
             return;
@@ -75,11 +90,22 @@
     fn watch_shards(&mut self, effects: &mut Effects, after: u64) {
         let prefix = keys::SHARD_PREFIX.into();
         let call = StoreCall::Watch { prefix, after, wait_ms: WATCH_WAIT_MS };
-        self.shared.context(effects).call_store(Operation::WatchShards, call);
+        self.shard_list.watch += 1;
+        let operation = Operation::WatchShards { number: self.shard_list.watch };
+        self.shared.context(effects).call_store(operation, call);
     }
 
-    /// Handles the events of the watch and continues it. After a failure the keys are listed again.
-    pub(super) fn on_shard_watch(&mut self, effects: &mut Effects, result: &StoreResult) {
+    /// Handles the events of the watch and continues it. After a failure the keys are listed again. While
+    /// they are being listed, and once a newer watch has replaced this one, the answer is ignored.
+    pub(super) fn on_shard_watch(
+        &mut self,
+        effects: &mut Effects,
+        number: u64,
+        result: &StoreResult,
+    ) {
+        if !self.shard_list.is_known || number != self.shard_list.watch {
+            return;
+        }
         match result {
             StoreResult::Events(events) => {
                 self.observe_shard_events(effects, events);
@@ -133,15 +159,17 @@
         Some(Owner { node: NodeIdx(node as u8), boot: record.boot, epoch: Epoch(version) })
     }
 
+    /// Records the owner that the store has shown, unless a newer state of the shard is known. If it is
+    /// this process, [`Node::tick_ownership`] begins to act for the shard.
     fn observe_owner(&mut self, effects: &mut Effects, shard: Shard, owner: Owner) {
-        if self.shared.owner(shard).is_some_and(|known| known.epoch > owner.epoch) {
+        let view = &mut self.shared.shard_views[shard.0 as usize];
+        let is_outdated = view.owner.is_some_and(|known| known.epoch > owner.epoch)
+            || owner.epoch.0 <= view.vacated_revision;
+        if is_outdated {
             return;
         }
-        self.shared.shard_views[shard.0 as usize].set_owner(owner, effects.now);
-        let is_this_process = self.is_this_process(owner);
-        if is_this_process && self.shared.lease.is_valid(effects.now) {
-            self.begin_ownership(effects, shard, owner.epoch);
-        } else if !is_this_process && self.active_epoch(shard).is_some() {
+        view.set_owner(owner, effects.now);
+        if !self.is_this_process(owner) && self.active_epoch(shard).is_some() {
             self.drop_shard(effects, shard);
         }
         self.propagate_owners();
--- a/crates/core/src/node/stored.rs
+++ b/crates/core/src/node/stored.rs
@@ -28,8 +28,10 @@
                 self.on_renewal_result(effects, lease, sent, &result);
             }
             Operation::ListShards => self.on_shard_list(effects, &result),
-            Operation::WatchShards => self.on_shard_watch(effects, &result),
-            Operation::Acquire { shard } => self.on_acquisition_result(effects, shard, &result),
+            Operation::WatchShards { number } => self.on_shard_watch(effects, number, &result),
+            Operation::Acquire { shard, lease } => {
+                self.on_acquisition_result(effects, shard, lease, &result);
+            }
             Operation::Release { shard, epoch } => {
                 self.on_release_result(effects, shard, epoch, &result);
             }
--- a/crates/testkit/src/broken_rule.rs
+++ b/crates/testkit/src/broken_rule.rs
@@ -22,6 +22,8 @@
     Quota,
     /// No job is left waiting while there is free capacity that fits it and its team's quota allows.
     Starved,
+    /// Once all faults are over, a controller acts for each shard.
+    Unserved,
     /// Controllers report a state only for jobs that were submitted.
     UnknownJob,
     /// A job is done only once all its tasks are done.
@@ -57,6 +59,7 @@
             Rule::DisallowedPlacement => "wrong_place",
             Rule::Quota => "quota",
             Rule::Starved => "neglected",
+            Rule::Unserved => "unserved",
             Rule::UnknownJob => "invented",
             Rule::NotDone => "not_done",
             Rule::InvalidAccepted => "accepted_wrong",
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -58,6 +58,14 @@
     /// The next controller that writes `what` gets no answer, crashes `after_ms` later and restarts `back_ms` after
     /// the crash.
     CrashAfterWrite { what: Written, after_ms: u64, back_ms: u64 },
+    /// The state service goes down for `ms`, `after_ms` after the next write of `what`. Until then its answers are
+    /// delayed by `slow_ms`, so that neither the answer nor the watches' events leave it before the outage if
+    /// `slow_ms` exceeds `after_ms`.
+    OutageAfterWrite { what: Written, slow_ms: u64, after_ms: u64, ms: u64 },
+    /// This share of the messages between controllers is lost, in either direction.
+    LosePeerMessages { percent: u32, ms: u64 },
+    /// The next `times` messages of this kind between controllers are lost. `kind` is a name that [`crate::tally`] uses.
+    LoseMessagesOfKind { kind: &'static str, times: u32 },
     /// New instances are up 0.2 to 2 s after their launch.
     FastBoots { ms: u64 },
     /// Commands to workers, or the answers to them, are delayed by `by_ms`.
@@ -118,10 +126,17 @@
     pub terminal_states: Vec<(u64, u64)>,
     /// Number of transactions that were executed at once and whose answers were lost.
     pub lost_answers: u64,
+    /// Number of answers that were lost because the state service went down before it had sent them.
+    pub answers_lost_in_outages: u64,
+    /// Number of messages between controllers that [`Fault::LoseMessagesOfKind`] and [`Fault::LosePeerMessages`] lost,
+    /// by kind.
+    pub lost_messages: BTreeMap<&'static str, u64>,
     /// Number of delayed heartbeats that arrived, by the step of a change of owner that they waited for.
     pub delayed_heartbeats: BTreeMap<OwnerChange, u64>,
     /// Scripted crashes after a write: when, and what was written.
     pub crashes_after_write: Vec<(u64, Written)>,
+    /// Scripted outages of the state service after a write: when, and what was written.
+    pub outages_after_write: Vec<(u64, Written)>,
 }
 
 impl Observations {
--- a/crates/testkit/src/sim/after_write.rs
+++ b/crates/testkit/src/sim/after_write.rs
@@ -1,5 +1,5 @@
-//! Transactions that the store commits but whose answers are lost, and scripted crashes of the controllers that
-//! sent them.
+//! Transactions that the store commits but whose answers are lost, and scripted faults that follow them: crashes of
+//! the controllers that sent them, and outages of the store.
 use super::event::Event;
 use super::store::STORE_TIMEOUT_MS;
 use super::Sim;
@@ -16,7 +16,16 @@
     pub(super) back_ms: u64,
 }
 
-/// Returns which of the writes that a crash can be scripted after the transaction contains, if any.
+/// A scripted outage: the store goes down for `ms`, `after_ms` after the next write of kind `what`, and its answers
+/// are delayed by `slow_ms` until then.
+pub(super) struct OutageAfterWrite {
+    pub(super) what: Written,
+    pub(super) slow_ms: u64,
+    pub(super) after_ms: u64,
+    pub(super) ms: u64,
+}
+
+/// Returns which of the writes that a fault can be scripted after the transaction contains, if any.
 fn scriptable_write(transaction: &Transaction) -> Option<Written> {
     transaction.changes.iter().find_map(|change| match change {
         Change::Put { key, .. } if key.starts_with(keys::SHARD_PREFIX) => {
@@ -45,6 +54,7 @@
             return is_too_late;
         };
         let what = scriptable_write(transaction);
+        self.schedule_outage_after(what);
         let position = self.crashes_after_writes.iter().position(|crash| what == Some(crash.what));
         if let Some(index) = position {
             let CrashAfterWrite { what, after_ms, back_ms } =
@@ -58,4 +68,15 @@
         self.observations.lost_answers += u64::from(is_lost);
         is_too_late || is_lost
     }
+
+    /// Schedules the outage of the store that waits for a write of this kind, if any.
+    fn schedule_outage_after(&mut self, written: Option<Written>) {
+        let position = self.outages_after_writes.iter().position(|o| written == Some(o.what));
+        let Some(index) = position else { return };
+        let OutageAfterWrite { what, slow_ms, after_ms, ms } =
+            self.outages_after_writes.remove(index);
+        self.observations.outages_after_write.push((self.now, what));
+        self.windows.slow_store.add(slow_ms, self.now + after_ms);
+        self.schedule(after_ms, Event::ScriptedFault(Fault::StoreOutage { ms }));
+    }
 }
--- a/crates/testkit/src/sim/dispatch.rs
+++ b/crates/testkit/src/sim/dispatch.rs
@@ -24,7 +24,9 @@
             Event::InvalidRequest { until } => self.invalid_request(until)?,
             Event::SingleTaskJob { until } => self.single_task_job(until)?,
             // These pass no input to a controller, so that they cannot break a rule themselves.
+            Event::StoreAnswer(answer) => self.deliver_store_answer(answer),
             Event::Watch(watch) => self.poll_watch(watch),
+            Event::WatchAnswer { watch, found } => self.deliver_watch_answer(watch, found),
             Event::WorkerStep { machine } => self.worker_step(machine),
             Event::HeartbeatReply(reply) => self.deliver_heartbeat_reply(reply),
             Event::Commands(commands) => self.deliver_commands(commands),
@@ -38,9 +40,11 @@
         Ok(())
     }
 
-    /// Checks, after all faults have ended, that every user request is answered and that no job starves.
+    /// Checks, after all faults have ended, that each shard is served, every user request is answered and no job
+    /// starves.
     fn check_liveness(&mut self) -> Result<(), BrokenRule> {
         self.schedule(LIVENESS_CHECK_MS, Event::CheckLiveness);
+        self.check_service()?;
         self.rules.check_answered(self.now)?;
         self.rules.check_starvation(self.now, &self.workers, &self.done)
     }
--- a/crates/testkit/src/sim/effects.rs
+++ b/crates/testkit/src/sim/effects.rs
@@ -96,7 +96,11 @@
     ) -> Result<(), BrokenRule> {
         let to: usize = to_name[2..].parse().map_err(|_| Rule::UnknownNode.broken(to_name))?;
         let not_sent = self.plan.defect == InjectedDefect::NoGrants && is_grant(&msg);
-        if not_sent || self.are_partitioned(from, to) || self.controllers[to].core.is_none() {
+        if not_sent
+            || self.is_peer_message_lost(&msg)
+            || self.are_partitioned(from, to)
+            || self.controllers[to].core.is_none()
+        {
             return Ok(());
         }
         // Messages between two controllers share a connection, which keeps their order.
--- a/crates/testkit/src/sim/event.rs
+++ b/crates/testkit/src/sim/event.rs
@@ -2,7 +2,8 @@
 use super::controllers::Process;
 use crate::script::Fault;
 use crate::user_knowledge::{RequestKind, UserRequest};
-use leaddeal_core::io::{Input, StoreCall, WorkerReply};
+use leaddeal_core::io::{Input, StoreCall, StoreResult, WorkerReply};
+use leaddeal_wire::state::Events;
 use leaddeal_wire::worker::{CommandBatch, WorkerHeartbeat};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -15,8 +16,12 @@
     NodeInput { process: Process, input: Input },
     /// A call reaches the store.
     Store(SentStoreCall),
+    /// The store's answer to a call is due at its sender.
+    StoreAnswer(SentStoreAnswer),
     /// A watch polls the store for changes.
     Watch(OpenWatch),
+    /// The changes that a watch found are due at its sender.
+    WatchAnswer { watch: OpenWatch, found: Events },
     /// A worker advances its tasks and sends a heartbeat if one is due.
     WorkerStep { machine: String },
     /// A worker's heartbeat reaches a controller.
@@ -64,6 +69,14 @@
     pub(super) call: StoreCall,
 }
 
+/// The answer to a call that the store has executed, on its way to the sender of the call.
+pub(super) struct SentStoreAnswer {
+    pub(super) process: Process,
+    pub(super) op: u64,
+    pub(super) result: StoreResult,
+    pub(super) executed_at: u64,
+}
+
 /// A watch that waits for changes after the revision `after`, until the time `until`.
 pub(super) struct OpenWatch {
     pub(super) process: Process,
--- a/crates/testkit/src/sim/fault_injection.rs
+++ b/crates/testkit/src/sim/fault_injection.rs
@@ -1,8 +1,9 @@
 //! Injection of faults, and the end of all faults.
-use super::crash_after_write::CrashAfterWrite;
+use super::after_write::{CrashAfterWrite, OutageAfterWrite};
 use super::delayed_heartbeats::{DelayWindow, DelayedHeartbeats};
 use super::event::Event;
 use super::fault_windows::{draw_percent, extend, ActiveWindows};
+use super::lost_messages::MessageLoss;
 use super::query_bursts::UserWindow;
 use super::{Sim, LIVENESS_CHECK_MS};
 use crate::script::Fault;
@@ -44,6 +45,16 @@
             Fault::LostStoreAnswers { percent, ms } => {
                 self.windows.lost_store_answers.add(percent.into(), now + ms);
             }
+            Fault::OutageAfterWrite { what, slow_ms, after_ms, ms } => {
+                self.outages_after_writes.push(OutageAfterWrite { what, slow_ms, after_ms, ms });
+            }
+            // Messages between controllers.
+            Fault::LosePeerMessages { percent, ms } => {
+                self.windows.lost_peer_messages.add(percent.into(), now + ms);
+            }
+            Fault::LoseMessagesOfKind { kind, times } => {
+                self.message_losses.push(MessageLoss { kind, times });
+            }
             // Machines, and messages between machines and controllers.
             Fault::LoseMachines { machines } => {
                 self.first_machines(machines).for_each(Worker::lose_machine);
@@ -147,6 +158,8 @@
         self.windows = ActiveWindows::default();
         self.delayed_heartbeats = DelayedHeartbeats::default();
         self.crashes_after_writes.clear();
+        self.outages_after_writes.clear();
+        self.message_losses.clear();
         self.store_outage_until = self.store_outage_until.min(self.now);
         for worker in self.workers.values_mut() {
             worker.hung_until = worker.hung_until.min(self.now);
--- a/crates/testkit/src/sim/fault_windows.rs
+++ b/crates/testkit/src/sim/fault_windows.rs
@@ -54,6 +54,8 @@
     pub(super) delayed_commands: FaultWindows,
     /// Milliseconds by which answers of the store are delayed.
     pub(super) slow_store: FaultWindows,
+    /// Percentage of the messages between controllers that are lost.
+    pub(super) lost_peer_messages: FaultWindows,
     /// New instances boot fast.
     pub(super) fast_boots: FaultWindows,
     /// When the partition of a pair of controllers ends, by their indices in ascending order.
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -12,21 +12,23 @@
 use crate::state::StoreModel;
 use crate::tally::Tally;
 use crate::worker::{job_of_task, CompletedTasks, Worker};
+use after_write::{CrashAfterWrite, OutageAfterWrite};
 use cloud::{Launch, StartingInstance};
 use controllers::Controller;
-use crash_after_write::CrashAfterWrite;
 use delayed_heartbeats::DelayedHeartbeats;
 use event::{EventQueue, PendingRequest, RequestId};
 use fault_windows::ActiveWindows;
 use leaddeal_wire::settings::Team;
 use leaddeal_wire::user::JobKind;
+use lost_messages::MessageLoss;
 use query_bursts::QueryBursts;
 use rand::rngs::SmallRng;
+use service_check::ServiceCheck;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+mod after_write;
 mod cloud;
 mod controllers;
-mod crash_after_write;
 mod defect;
 mod delayed_heartbeats;
 mod dispatch;
@@ -35,11 +37,13 @@
 mod fault_injection;
 mod fault_windows;
 mod jobs;
+mod lost_messages;
 mod plan;
 mod preload;
 mod query_bursts;
 mod random_faults;
 mod run;
+mod service_check;
 mod setup;
 mod store;
 mod teams;
@@ -76,6 +80,10 @@
     windows: ActiveWindows,
     delayed_heartbeats: DelayedHeartbeats,
     crashes_after_writes: Vec<CrashAfterWrite>,
+    outages_after_writes: Vec<OutageAfterWrite>,
+    /// Kinds of messages between controllers of which the next ones are lost.
+    message_losses: Vec<MessageLoss>,
+    service_check: ServiceCheck,
     /// Users poll often until this time.
     frequent_polls_until: u64,
     /// Observations that tests evaluate after the run.
--- a/crates/testkit/src/sim/random_faults.rs
+++ b/crates/testkit/src/sim/random_faults.rs
@@ -18,7 +18,7 @@
 type RandomFault = fn(&mut Sim, usize);
 
 /// All random faults; a more likely fault is listed more than once. The order is part of every seeded run.
-const RANDOM_FAULTS: [RandomFault; 34] = [
+const RANDOM_FAULTS: [RandomFault; 37] = [
     Sim::random_crash,
     Sim::random_crash,
     Sim::random_crash_of_all,
@@ -53,6 +53,9 @@
     Sim::random_zone_partition,
     Sim::random_end_of_watches,
     Sim::random_flaky_store,
+    Sim::random_outage_after_write,
+    Sim::random_outage_after_write,
+    Sim::random_lost_peer_messages,
 ];
 
 impl Sim {
@@ -115,6 +118,21 @@
         self.inject(Fault::CrashAfterWrite { what, after_ms, back_ms });
     }
 
+    /// Makes the store go down just after a write, mostly before its answer and its event are out.
+    fn random_outage_after_write(&mut self, _: usize) {
+        let writes = [Written::Acquisition, Written::Acquisition, Written::Decision];
+        let what = writes[self.rng.random_range(0..writes.len())];
+        let slow_ms = self.draw_ms(100..800);
+        let after_ms = self.draw_ms(0..500);
+        let ms = self.draw_ms(2000..20_000);
+        self.inject(Fault::OutageAfterWrite { what, slow_ms, after_ms, ms });
+    }
+
+    fn random_lost_peer_messages(&mut self, _: usize) {
+        let (percent, ms) = self.draw_percent_and_ms();
+        self.inject(Fault::LosePeerMessages { percent, ms });
+    }
+
     fn random_freeze(&mut self, node: usize) {
         let ms = self.draw_ms(1000..25_000);
         self.inject(Fault::FreezeNode { node, ms });
--- a/crates/testkit/src/sim/setup.rs
+++ b/crates/testkit/src/sim/setup.rs
@@ -2,6 +2,7 @@
 use super::controllers::Controller;
 use super::event::{Event, EventQueue};
 use super::query_bursts::QueryBursts;
+use super::service_check::ServiceCheck;
 use super::{
     ActiveWindows, DelayedHeartbeats, InjectedDefect, Plan, Sim, GANG_STEP_MS, NODES, START_MS,
     ZONES,
@@ -124,6 +125,9 @@
             windows: ActiveWindows::default(),
             delayed_heartbeats: DelayedHeartbeats::default(),
             crashes_after_writes: Vec::new(),
+            outages_after_writes: Vec::new(),
+            message_losses: Vec::new(),
+            service_check: ServiceCheck::default(),
             frequent_polls_until: 0,
             observations: Observations::default(),
             tally: plan.count_traffic.then(Tally::default),
--- a/crates/testkit/src/sim/store.rs
+++ b/crates/testkit/src/sim/store.rs
@@ -1,8 +1,9 @@
 //! Calls to the simulated store, and their answers.
-use super::event::{Event, OpenWatch, SentStoreCall};
+use super::event::{Event, OpenWatch, SentStoreAnswer, SentStoreCall};
 use super::Sim;
 use crate::broken_rule::{BrokenRule, Rule};
 use leaddeal_core::io::{Input, StoreCall, StoreResult};
+use leaddeal_wire::state::Events;
 use rand::Rng;
 
 /// Longest time that a controller waits for the answer to a call.
@@ -75,15 +76,37 @@
         }
         self.observations.store_calls += 1;
         self.observations.pages += u64::from(matches!(result, StoreResult::Page(_)));
-        let slow_ms = self.windows.slow_store.strongest(self.now).unwrap_or(0);
-        let answer_ms = match result {
-            StoreResult::Unknown => STORE_TIMEOUT_MS,
-            _ => self.draw_latency_ms() + slow_ms,
-        };
-        self.schedule_input(answer_ms, process, Input::Store { op, result });
+        if matches!(result, StoreResult::Unknown) {
+            self.schedule_input(STORE_TIMEOUT_MS, process, Input::Store { op, result });
+            return Ok(());
+        }
+        let answer_ms = self.draw_store_answer_ms();
+        let answer = SentStoreAnswer { process, op, result, executed_at: self.now };
+        self.schedule(answer_ms, Event::StoreAnswer(answer));
         Ok(())
     }
 
+    /// Draws how long the store takes to answer.
+    fn draw_store_answer_ms(&mut self) -> u64 {
+        let slow_ms = self.windows.slow_store.strongest(self.now).unwrap_or(0);
+        self.draw_latency_ms() + slow_ms
+    }
+
+    /// Delivers the answer to a call. If the store has gone down since it executed the call, the answer is lost, and
+    /// its sender waits until its timeout.
+    pub(super) fn deliver_store_answer(&mut self, answer: SentStoreAnswer) {
+        let SentStoreAnswer { process, op, result, executed_at } = answer;
+        let is_outage = self.now < self.store_outage_until;
+        if !is_outage || matches!(result, StoreResult::Refused) {
+            self.schedule_input(0, process, Input::Store { op, result });
+            return;
+        }
+        self.observations.answers_lost_in_outages += 1;
+        let timeout_at = (executed_at + STORE_TIMEOUT_MS).max(self.now);
+        let unknown = Input::Store { op, result: StoreResult::Unknown };
+        self.schedule_input(timeout_at - self.now, process, unknown);
+    }
+
     /// Executes a call, unless a partition or the store's refusal prevents that, and returns its result.
     fn store_result(&mut self, node: usize, call: &StoreCall) -> StoreResult {
         let flaky = self.windows.flaky_store.draw(self.now, &mut self.rng);
@@ -107,18 +130,33 @@
             self.schedule_input(WATCH_REFUSED_MS, process, refused);
             return;
         }
-        let unreachable = self.store_refuses(process.node)
-            || self.controllers[process.node].is_partitioned_from_store_and_peers(self.now);
+        let unreachable = self.is_store_unreachable(process.node);
         if !unreachable {
             self.state.expire(self.now);
         }
         let found = self.state.events(&watch.prefix, watch.after);
         if !unreachable && (!found.events.is_empty() || self.now >= watch.until) {
-            let latency_ms = self.draw_latency_ms();
-            let result = StoreResult::Events(found);
-            self.schedule_input(latency_ms, process, Input::Store { op, result });
+            let answer_ms = self.draw_store_answer_ms();
+            self.schedule(answer_ms, Event::WatchAnswer { watch, found });
         } else {
             self.schedule(WATCH_INTERVAL_MS, Event::Watch(watch));
         }
     }
+
+    /// Returns whether the store refuses a controller's calls, or a partition separates the two.
+    fn is_store_unreachable(&self, node: usize) -> bool {
+        self.store_refuses(node)
+            || self.controllers[node].is_partitioned_from_store_and_peers(self.now)
+    }
+
+    /// Delivers the changes that a watch found. If the store has become unreachable meanwhile, the watch stays open
+    /// and finds them again afterwards.
+    pub(super) fn deliver_watch_answer(&mut self, watch: OpenWatch, found: Events) {
+        if self.is_store_unreachable(watch.process.node) {
+            self.schedule(WATCH_INTERVAL_MS, Event::Watch(watch));
+            return;
+        }
+        let result = StoreResult::Events(found);
+        self.schedule_input(0, watch.process, Input::Store { op: watch.op, result });
+    }
 }
--- a/crates/testkit/src/tally.rs
+++ b/crates/testkit/src/tally.rs
@@ -26,6 +26,19 @@
     serde_json::to_vec(message).map_or(0, |text| text.len() as u64)
 }
 
+/// Returns the name of the kind of a message between controllers.
+pub fn peer_message_kind(msg: &NodeMessage) -> &'static str {
+    match msg {
+        NodeMessage::Shard { msg, .. } => shard_message_kind(msg),
+        NodeMessage::Heartbeat(_) => "mesh Beat",
+        NodeMessage::QueryJob { .. } => "mesh Ask",
+        NodeMessage::JobAnswer { .. } => "mesh Told",
+        NodeMessage::ReclaimShard { .. } => "mesh WantShard",
+        NodeMessage::RelayedHeartbeat { .. } => "mesh Report",
+        NodeMessage::RelayedResponse { .. } => "mesh Answered",
+    }
+}
+
 /// Returns the name of the kind of a message between shards.
 fn shard_message_kind(msg: &ShardMessage) -> &'static str {
     match msg {
@@ -84,16 +97,7 @@
             Effect::Mesh { msg, .. } => {
                 let mut bytes = Vec::new();
                 let _ = ciborium::into_writer(msg, &mut bytes);
-                let kind = match msg {
-                    NodeMessage::Shard { msg, .. } => shard_message_kind(msg),
-                    NodeMessage::Heartbeat(_) => "mesh Beat",
-                    NodeMessage::QueryJob { .. } => "mesh Ask",
-                    NodeMessage::JobAnswer { .. } => "mesh Told",
-                    NodeMessage::ReclaimShard { .. } => "mesh WantShard",
-                    NodeMessage::RelayedHeartbeat { .. } => "mesh Report",
-                    NodeMessage::RelayedResponse { .. } => "mesh Answered",
-                };
-                self.add(kind, bytes.len() as u64);
+                self.add(peer_message_kind(msg), bytes.len() as u64);
             }
             Effect::Store { call, .. } => match call {
                 StoreCall::Transaction(t) => self.add("store transaction", json_len(t)),
