Repeat placements and reports until the other side has confirmed them

Cause: what a running task takes was sent to a new owner of its machine once, and lost while controllers refused each other. Now a coordinator sends Place until the participant's present owner has reported the attempt, and a participant reports an attempt until its present coordinator has named it. In batches of 1,000 tasks in 0.5 s and of 100 machines a tick, spread over 1 s (chosen, not tuned), and only to owners that are heard.

Test kit: an owner that does not know what a task takes, once faults are over, breaks 'unserved'. owner_restarts_while_controllers_are_partitioned failed before the mend: at 192000 ms: unserved: n-2 does not know what 3 tasks take.

--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -3,7 +3,7 @@
 use super::Coordinator;
 use crate::context::{Context, Operation};
 use crate::guards::{is_enforced, Guard};
-use crate::ids::{Attempt, JobId};
+use crate::ids::{Attempt, Epoch, JobId};
 use crate::io::LogLevel;
 use crate::io::StoreResult;
 use crate::jobs::{wire_shape, Job};
@@ -230,6 +230,9 @@
             round,
             placed_at: ctx.now,
             sent_at: 0,
+            sent_to: Epoch(0),
+            reported_by: Epoch(0),
+            awaits_report: false,
             stop: None,
             adopted: true,
             quota: record.quota,
--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -64,8 +64,8 @@
 /// - at most one negotiation or decision is in progress: `negotiation` or `pending_decision` is
 ///   `None`;
 /// - every job that is not cancelled and has tasks to place is in `unplaced_jobs`;
-/// - every job with a placement that was not yet seen on its machine, or that is to stop, is in
-///   `unsettled_jobs`.
+/// - every job with a placement that the present owner of its participant has not yet reported on its
+///   machine, or that is to stop, is in `unsettled_jobs`.
 #[derive(Debug)]
 pub struct Coordinator {
     /// The shard whose jobs this coordinator schedules.
@@ -95,9 +95,12 @@
     unplaced_jobs: BTreeSet<JobId>,
     /// Completions and terminal states that are still to be written.
     compaction: CompactionState,
-    /// Jobs that may have a task that was not yet seen on its machine, or that is to stop. A job
-    /// without any is removed at the next resend.
+    /// Jobs that may have a task that is not settled, or that is to stop. A job without any is removed
+    /// at the next resend.
     unsettled_jobs: BTreeSet<JobId>,
+    /// The first unsettled job that the next resend looks at, so that a full batch delays no job for
+    /// long.
+    next_resend_job: JobId,
     gpu_work: GpuWorkCache,
     service_statistics: ServiceStatistics,
     /// Jobs whose cancellation is being written.
@@ -137,6 +140,7 @@
             unplaced_jobs: BTreeSet::new(),
             compaction: CompactionState::default(),
             unsettled_jobs: BTreeSet::new(),
+            next_resend_job: JobId(0),
             gpu_work: GpuWorkCache::default(),
             service_statistics: ServiceStatistics::default(),
             cancelling: BTreeSet::new(),
@@ -172,8 +176,8 @@
         self.last_round
     }
 
-    /// Handles a message from a participant or a quota manager.
-    pub fn handle(&mut self, ctx: &mut Context, from: Shard, message: ShardMessage) {
+    /// Handles a message from a participant or a quota manager, sent under `epoch` of the shard `from`.
+    pub fn handle(&mut self, ctx: &mut Context, from: Shard, epoch: Epoch, message: ShardMessage) {
         match message {
             ShardMessage::Offers { negotiation, offers, preempting } => {
                 self.receive_offers(ctx, from, negotiation, offers, preempting);
@@ -186,7 +190,7 @@
             }
             ShardMessage::CapacityFreed { priority } => self.on_capacity_freed(ctx, priority),
             ShardMessage::TaskEvents { events } if self.is_ready() => {
-                self.handle_task_events(ctx, from, events);
+                self.handle_task_events(ctx, from, epoch, events);
             }
             _ => {}
         }
--- a/crates/core/src/coordinator/resend.rs
+++ b/crates/core/src/coordinator/resend.rs
@@ -1,4 +1,4 @@
-//! Resends placements and stops until participants report their effect.
+//! Sends placements and stops until the present owners of the participants report their effect.
 use super::place_batch::{PlaceBatch, PlaceTarget};
 use super::Coordinator;
 use crate::context::Context;
@@ -7,15 +7,26 @@
 use crate::jobs::Job;
 use crate::names::Names;
 use crate::placed::{PendingStop, Placement};
-use leaddeal_wire::mesh::{Assignment, AttemptRef, Shape, ShardMessage, TaskPhase};
+use leaddeal_wire::mesh::{Assignment, AttemptRef, Shape, ShardMessage};
 use std::sync::Arc;
 
-/// A message whose effect was not reported is sent again after this time.
+/// A message whose effect was not reported is sent again after this time, in ms.
 const RESEND_INTERVAL_MS: u64 = 2000;
-/// Time between two checks of the unsettled jobs.
+/// A `Place` message is sent again up to this much later, in ms, so that the placements which became due
+/// at the same time are spread.
+const RESEND_JITTER_MS: u64 = 1000;
+/// Time between two checks of the unsettled jobs, in ms.
 const RESEND_CHECK_INTERVAL_MS: u64 = 500;
 /// Maximum number of tasks in one message that tells a participant to place them.
 const MAX_ASSIGNMENTS_PER_MESSAGE: usize = 200;
+/// Maximum number of tasks in all such messages of one check. All placements at a participant are due when
+/// its owner changes.
+const MAX_ASSIGNMENTS_PER_CHECK: usize = 1000;
+
+/// Returns by how much the resends for a task are delayed, in ms.
+fn resend_jitter_ms(job: JobId, task: u32) -> u64 {
+    job.0.wrapping_mul(31).wrapping_add(u64::from(task).wrapping_mul(17)) % RESEND_JITTER_MS
+}
 
 /// A stop to send.
 struct StopMessage {
@@ -24,12 +35,26 @@
     grace_s: f64,
 }
 
+/// The owner of a participant's shard at a check.
+#[derive(Clone, Copy)]
+struct ParticipantOwner {
+    /// 0: no owner is known.
+    epoch: Epoch,
+    /// It was not the owner at the previous check.
+    is_new: bool,
+    is_reachable: bool,
+}
+
 /// The messages that one check of the unsettled jobs finds due.
 struct ResendBatch<'a> {
     now: Timestamp,
-    /// By participant: whether it has a new owner, which does not know the messages sent before.
-    has_new_owner: &'a [bool],
+    /// By participant.
+    owners: &'a [ParticipantOwner],
     places: PlaceBatch,
+    /// How many tasks may still be added to `places`.
+    assignments_left: usize,
+    /// The first job with a task that had no room in `places`.
+    first_deferred: Option<JobId>,
     stops: Vec<StopMessage>,
 }
 
@@ -38,8 +63,9 @@
     fn add_job(&mut self, names: &Names, job: &mut Job) -> bool {
         let mut is_unsettled = false;
         for (task, placement) in job.placed.iter_mut() {
+            let owner = self.owners[placement.participant.0 as usize];
             is_unsettled |=
-                placement.stop.is_some() || placement.phase == TaskPhase::Decided || job.cancelled;
+                placement.stop.is_some() || job.cancelled || !placement.is_settled(owner.epoch);
             if placement.stop.is_some() {
                 self.add_stop(names, job.id, task, placement);
             } else if job.cancelled {
@@ -53,7 +79,7 @@
 
     /// Adds the stop of a placement unless it was recently sent to the participant's present owner.
     fn add_stop(&mut self, names: &Names, job: JobId, task: u32, placement: &mut Placement) {
-        let has_new_owner = self.has_new_owner[placement.participant.0 as usize];
+        let has_new_owner = self.owners[placement.participant.0 as usize].is_new;
         let Some(stop) = &mut placement.stop else { return };
         let is_due = has_new_owner || self.now >= stop.sent_at + RESEND_INTERVAL_MS;
         if !is_due || (stop.sent_at != 0 && !is_enforced(Guard::StopResent)) {
@@ -71,8 +97,10 @@
         self.stops.push(StopMessage { participant, what, grace_s });
     }
 
-    /// Adds a placement that was sent a while ago and not seen on its machine since, or that a new
-    /// owner of the participant does not know.
+    /// Adds a placement that the participant's present owner was not sent yet, or was sent a while ago
+    /// and has not reported on its machine since. A single message after a change of the owner is not
+    /// enough: while it was lost in a partition, the new owner offered the machine to nobody for as
+    /// long as the task ran, since it did not know what the task takes.
     fn add_assignment(
         &mut self,
         names: &Names,
@@ -82,14 +110,20 @@
         placement: &mut Placement,
     ) {
         let participant = placement.participant;
-        let has_new_owner = self.has_new_owner[participant.0 as usize];
-        let is_unseen = placement.phase == TaskPhase::Decided;
-        let is_due =
-            has_new_owner || (is_unseen && self.now >= placement.sent_at + RESEND_INTERVAL_MS);
-        if !is_due {
+        let owner = self.owners[participant.0 as usize];
+        if placement.is_settled(owner.epoch) || !owner.is_reachable {
+            return;
+        }
+        let resend_at = placement.sent_at + RESEND_INTERVAL_MS + resend_jitter_ms(job, task);
+        if placement.sent_to == owner.epoch && self.now < resend_at {
+            return;
+        }
+        if self.assignments_left == 0 {
+            self.first_deferred.get_or_insert(job);
             return;
         }
-        placement.sent_at = self.now;
+        self.assignments_left -= 1;
+        placement.record_sent(owner.epoch, self.now);
         let target = PlaceTarget { participant, job, adopt: placement.adopted };
         let assignment = Assignment {
             task,
@@ -120,35 +154,47 @@
             return;
         }
         self.next_resend_at = ctx.now + RESEND_CHECK_INTERVAL_MS;
-        let has_new_owner = self.update_participant_epochs(ctx);
+        let owners = self.update_participant_owners(ctx);
         // A new owner of a participant does not know what is placed on its machines, so every job
-        // with placements counts as unsettled once. At other times only unsettled jobs are checked,
-        // so that a check does not go through all placements twice a second.
-        if has_new_owner.contains(&true) {
+        // with placements becomes unsettled. At other times only unsettled jobs are checked, so that a
+        // check does not go through all placements twice a second.
+        if owners.iter().any(|owner| owner.is_new) {
             let placed = self.jobs.values().filter(|job| !job.placed.is_empty());
             self.unsettled_jobs.extend(placed.map(|job| job.id));
         }
         let mut batch = ResendBatch {
             now: ctx.now,
-            has_new_owner: &has_new_owner,
+            owners: &owners,
             places: PlaceBatch::default(),
+            assignments_left: MAX_ASSIGNMENTS_PER_CHECK,
+            first_deferred: None,
             stops: Vec::new(),
         };
         let jobs = &mut self.jobs;
-        self.unsettled_jobs
-            .retain(|id| jobs.get_mut(id).is_some_and(|job| batch.add_job(ctx.names, job)));
+        let mut is_unsettled =
+            |id: &JobId| jobs.get_mut(id).is_some_and(|job| batch.add_job(ctx.names, job));
+        let mut unsettled = self.unsettled_jobs.split_off(&self.next_resend_job);
+        unsettled.retain(&mut is_unsettled);
+        self.unsettled_jobs.retain(&mut is_unsettled);
+        self.unsettled_jobs.append(&mut unsettled);
+        self.next_resend_job = batch.first_deferred.unwrap_or(JobId(0));
         batch.send(ctx, self.shard);
     }
 
-    /// Returns by participant whether its owner has changed since the last call.
-    fn update_participant_epochs(&mut self, ctx: &Context) -> Vec<bool> {
-        let mut has_new_owner = Vec::new();
+    /// Returns the present owner of each participant.
+    fn update_participant_owners(&mut self, ctx: &Context) -> Vec<ParticipantOwner> {
+        let mut owners = Vec::new();
         for participant in ctx.shards() {
             let epoch = ctx.owner(participant).map_or(Epoch(0), |owner| owner.epoch);
             let known = &mut self.participant_epochs[participant.0 as usize];
-            has_new_owner.push(epoch != *known);
+            let is_new = epoch != *known;
             *known = epoch;
+            owners.push(ParticipantOwner {
+                epoch,
+                is_new,
+                is_reachable: ctx.is_reachable(participant),
+            });
         }
-        has_new_owner
+        owners
     }
 }
--- a/crates/core/src/coordinator/task_events.rs
+++ b/crates/core/src/coordinator/task_events.rs
@@ -2,7 +2,7 @@
 //! Tells the participants which attempts they may forget.
 use super::Coordinator;
 use crate::context::Context;
-use crate::ids::{Attempt, JobId, Shard, Timestamp};
+use crate::ids::{Attempt, Epoch, JobId, Shard, Timestamp};
 use crate::io::LogLevel;
 use crate::jobs::CompletedAttempt;
 use crate::jobs::Job;
@@ -18,17 +18,18 @@
 const SAVE_MARGIN_S: f64 = 2.0;
 
 impl Coordinator {
-    /// Handles the events, and tells the participant which attempts it may forget. The participant
-    /// repeats its report of an attempt until then.
+    /// Handles the events that the owner of `from` with this epoch has sent, and tells it which attempts
+    /// it may forget. It repeats its report of an attempt that has ended until then.
     pub(super) fn handle_task_events(
         &mut self,
         ctx: &mut Context,
         from: Shard,
+        epoch: Epoch,
         events: Vec<TaskEvent>,
     ) {
         let mut forgettable = Vec::new();
         for event in events {
-            forgettable.extend(self.handle_task_event(ctx, from, &event));
+            forgettable.extend(self.handle_task_event(ctx, from, epoch, &event));
         }
         if !forgettable.is_empty() {
             ctx.send(self.shard, from, ShardMessage::Forget { what: forgettable });
@@ -40,6 +41,7 @@
         &mut self,
         ctx: &mut Context,
         from: Shard,
+        epoch: Epoch,
         event: &TaskEvent,
     ) -> Option<AttemptRef> {
         let what = AttemptRef {
@@ -63,7 +65,7 @@
         if has_ended {
             self.end_placement(ctx, event).then_some(what)
         } else {
-            self.update_phase(ctx, event);
+            self.update_phase(ctx, epoch, event);
             None
         }
     }
@@ -100,11 +102,15 @@
         }
     }
 
-    /// Updates the phase of a placed task that has not ended.
-    fn update_phase(&mut self, ctx: &mut Context, event: &TaskEvent) {
+    /// Updates the phase of a placed task that has not ended, as the participant's owner with this epoch
+    /// has reported it.
+    fn update_phase(&mut self, ctx: &mut Context, epoch: Epoch, event: &TaskEvent) {
         let id = JobId(event.job);
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.placed.set_phase(event.task, event.phase);
+        job.placed.record_report(event.task, epoch, event.phase);
+        if job.placed.get(event.task).is_some_and(|placement| !placement.is_settled(epoch)) {
+            self.unsettled_jobs.insert(id);
+        }
         // If one task of a gang is saving its progress before it stops, the whole gang must save
         // and stop, too, and soon.
         if event.phase == TaskPhase::On(TaskState::Saving) && job.spec.kind == JobKind::Gang {
--- a/crates/core/src/jobs/tests.rs
+++ b/crates/core/src/jobs/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::ids::{Attempt, MachineIdx, Timestamp, ZoneIdx};
+use crate::ids::{Attempt, Epoch, MachineIdx, Timestamp, ZoneIdx};
 use crate::names::Names;
 use crate::placed::Placement;
 use leaddeal_wire::settings::Objective;
@@ -105,6 +105,9 @@
         round: 1,
         placed_at: 0,
         sent_at: 0,
+        sent_to: Epoch(0),
+        reported_by: Epoch(0),
+        awaits_report: false,
         stop: None,
         adopted: true,
         quota: None,
--- a/crates/core/src/machine/attempt.rs
+++ b/crates/core/src/machine/attempt.rs
@@ -64,6 +64,9 @@
     /// The attempt was taken over by a new coordinator: it is kept if it is on the machine, but never
     /// started.
     pub adopted: bool,
+    /// Epoch of the coordinator that last placed or stopped the attempt; 0: none. Reports are repeated
+    /// until that is the present coordinator.
+    pub acknowledged_by: Epoch,
     /// The coordinator has acknowledged the end of the attempt.
     pub end_acknowledged: bool,
     /// The phase that was last sent to the coordinator, and the coordinator's epoch at that time.
@@ -88,6 +91,7 @@
             reported: false,
             stop: None,
             adopted: false,
+            acknowledged_by: Epoch(0),
             end_acknowledged: false,
             notified: None,
             notified_at: 0,
--- a/crates/core/src/node/delivery.rs
+++ b/crates/core/src/node/delivery.rs
@@ -108,7 +108,7 @@
             | ShardMessage::TeamGrant { .. }
             | ShardMessage::CapacityFreed { .. }
             | ShardMessage::TaskEvents { .. } => {
-                active.coordinator.handle(&mut context, from, message);
+                active.coordinator.handle(&mut context, from, from_epoch, message);
             }
             ShardMessage::Drain { .. }
             | ShardMessage::OperatorMachines { .. }
--- a/crates/core/src/participant/mod.rs
+++ b/crates/core/src/participant/mod.rs
@@ -89,8 +89,8 @@
     /// When to check next whether a machine's lease has expired, or whether the machine can be
     /// removed.
     lease_checks: BTreeSet<(Timestamp, MachineIdx)>,
-    /// Machines with an ended attempt whose end was sent to its coordinator, with the time at which
-    /// it is sent again unless the coordinator has acknowledged it; earliest first.
+    /// Machines with an attempt whose report awaits its coordinator's acknowledgement, with the time from
+    /// which it is sent again; about in this order.
     resend_queue: VecDeque<(Timestamp, MachineIdx)>,
     inventory_publisher: InventoryPublisher,
     holds: Holds,
@@ -182,6 +182,7 @@
                 ctx.horizons.on_job_continued(job, epoch);
                 let command = task_commands::PlaceCommand {
                     from,
+                    epoch,
                     job,
                     shape: ctx.names.resolve_shape(&shape),
                     adopt,
@@ -190,7 +191,10 @@
                     self.place_unless_terminal(ctx, &command, assignment);
                 }
             }
-            ShardMessage::Stop { what, grace_s } => self.stop_attempt(ctx, &what, grace_s),
+            ShardMessage::Stop { what, grace_s } => {
+                self.stop_attempt(ctx, &what, grace_s);
+                self.acknowledge_attempt(ctx, &what, epoch);
+            }
             ShardMessage::Forget { what } => self.record_end_acknowledgements(ctx, &what),
             _ => {}
         }
--- a/crates/core/src/participant/task_commands.rs
+++ b/crates/core/src/participant/task_commands.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::guards::{is_enforced, Guard};
 use crate::horizon::Horizons;
-use crate::ids::{Attempt, JobId, MachineIdx, Shard, Timestamp};
+use crate::ids::{Attempt, Epoch, JobId, MachineIdx, Shard, Timestamp};
 use crate::machine::{AttemptKey, Machine, StopRequest, TaskOnMachine};
 use crate::names::Shape;
 use leaddeal_wire::mesh::{Assignment, AttemptRef, TaskPhase};
@@ -14,6 +14,8 @@
 pub(super) struct PlaceCommand {
     /// Shard of the coordinator that placed the tasks.
     pub from: Shard,
+    /// The coordinator's epoch.
+    pub epoch: Epoch,
     /// Job that the tasks belong to.
     pub job: JobId,
     /// Resources and image of each task.
@@ -57,15 +59,20 @@
         let (task, attempt) = (assignment.task, Attempt(assignment.attempt));
         let incarnation = assignment.incarnation;
         let idx = ctx.names.machine(&assignment.machine);
-        self.holds.consume_one(idx, command.from, job);
-        self.reservations.remove_one(job, idx);
+        let key = AttemptKey { job, task, attempt };
+        // A repeated message must not use up what is held for another task of the job.
+        let is_known =
+            self.machines.get(&idx).is_some_and(|machine| machine.tasks.contains_key(&key));
+        if !is_known {
+            self.holds.consume_one(idx, command.from, job);
+            self.reservations.remove_one(job, idx);
+        }
         let machine = self.machine_or_insert(idx);
         let outdated =
             incarnation < machine.incarnation && is_enforced(Guard::StartBoundToIncarnation);
         let expired = machine.lease_expired && incarnation <= machine.incarnation;
         let gone = machine.released || outdated || expired;
         let fenced = is_fenced(machine);
-        let key = AttemptKey { job, task, attempt };
         let task = machine.tasks.entry(key).or_insert_with(|| {
             // A coordinator's successor adopts an attempt that is not known here: either the attempt
             // was never confirmed, or it has ended and was removed. Its share of the zone limit and of
@@ -76,6 +83,7 @@
             TaskOnMachine { adopted: adopt, ..TaskOnMachine::new(None, phase, incarnation) }
         });
         task.shape = Some(command.shape.clone());
+        task.acknowledged_by = task.acknowledged_by.max(command.epoch);
         // The sender does not know the attempt's phase, so it is sent again.
         task.notified = None;
         machine.update_load();
@@ -119,6 +127,22 @@
         self.changed_machines.insert(idx);
     }
 
+    /// Records that the coordinator with this epoch knows of the attempt, so that its report needs not be
+    /// repeated.
+    pub(super) fn acknowledge_attempt(
+        &mut self,
+        ctx: &mut Context,
+        attempt: &AttemptRef,
+        epoch: Epoch,
+    ) {
+        let idx = ctx.names.machine(&attempt.machine);
+        let machine = self.machines.get_mut(&idx);
+        let key = AttemptKey::of(attempt);
+        if let Some(task) = machine.and_then(|machine| machine.tasks.get_mut(&key)) {
+            task.acknowledged_by = task.acknowledged_by.max(epoch);
+        }
+    }
+
     /// Records that the coordinator has acknowledged the ends of these attempts. An attempt that is
     /// not over here is left as it is.
     pub(super) fn record_end_acknowledgements(&mut self, ctx: &mut Context, ended: &[AttemptRef]) {
--- a/crates/core/src/participant/task_events.rs
+++ b/crates/core/src/participant/task_events.rs
@@ -8,9 +8,13 @@
 use leaddeal_wire::worker::{CommandBatch, ExitReason, TaskState};
 use std::collections::BTreeMap;
 
-/// Time in ms after which the end of an attempt is sent again unless its coordinator has acknowledged
-/// it.
-const END_RESEND_INTERVAL_MS: u64 = 2000;
+/// Time in ms after which a report is sent again unless the coordinator has acknowledged it: the end of an
+/// attempt, or any phase of one that the present coordinator has not named yet.
+const REPORT_RESEND_INTERVAL_MS: u64 = 2000;
+/// A report is sent again up to this much later, in ms, so that those of many machines are spread.
+const REPORT_RESEND_JITTER_MS: u64 = 1000;
+/// Maximum number of machines whose reports are sent again in one tick.
+const MAX_RESENDS_PER_TICK: usize = 100;
 /// Interval in ms at which events that no coordinator acts on soon are sent together.
 const DEFERRED_EVENTS_INTERVAL_MS: u64 = 300;
 /// Maximum number of events in one message.
@@ -26,6 +30,18 @@
     Defer,
 }
 
+/// Returns whether reports of the attempt are repeated: it has ended, or the coordinator with this epoch has
+/// neither placed nor stopped it yet. Until it is placed, it is not known what it takes, so that its machine
+/// is not offered.
+fn awaits_acknowledgement(task: &TaskOnMachine, coordinator_epoch: Epoch) -> bool {
+    task.is_over() || task.acknowledged_by != coordinator_epoch
+}
+
+/// Returns by how much the resends for a machine are delayed, in ms.
+fn resend_jitter_ms(idx: MachineIdx) -> u64 {
+    u64::from(idx.0).wrapping_mul(37) % REPORT_RESEND_JITTER_MS
+}
+
 /// Whether the phase of an attempt has to be sent to its coordinator.
 enum Notification {
     /// The coordinator already knows the phase, or its shard has no known owner.
@@ -60,7 +76,8 @@
     let Some(epoch) = ctx.owner(shard).map(|owner| owner.epoch) else {
         return Notification::None;
     };
-    let resend = task.is_over() && ctx.now >= task.notified_at + END_RESEND_INTERVAL_MS;
+    let resend = awaits_acknowledgement(task, epoch)
+        && ctx.now >= task.notified_at + REPORT_RESEND_INTERVAL_MS;
     if task.notified == Some((epoch, task.phase)) && !resend {
         return Notification::None;
     }
@@ -102,9 +119,12 @@
         self.send_capacity_notices(ctx);
     }
 
-    /// Marks the machines with ended attempts that are due to be sent again as changed.
+    /// Marks the machines whose reports are due to be sent again as changed, up to a maximum.
     pub(super) fn queue_resends(&mut self, now: Timestamp) {
-        while let Some((_, idx)) = self.resend_queue.pop_front_if(|resend| resend.0 <= now) {
+        for _ in 0..MAX_RESENDS_PER_TICK {
+            let Some((_, idx)) = self.resend_queue.pop_front_if(|resend| resend.0 <= now) else {
+                return;
+            };
             self.changed_machines.insert(idx);
         }
     }
@@ -130,6 +150,7 @@
         events: &mut EventsByShard,
     ) {
         let Some(machine) = self.machines.get_mut(&idx) else { return };
+        let mut is_unacknowledged = false;
         for (key, task) in &mut machine.tasks {
             let (shard, epoch) = match notification_for(ctx, key, task, deferred) {
                 Notification::None => continue,
@@ -141,9 +162,7 @@
             };
             task.notified = Some((epoch, task.phase));
             task.notified_at = ctx.now;
-            if task.is_over() {
-                self.resend_queue.push_back((ctx.now + END_RESEND_INTERVAL_MS, idx));
-            }
+            is_unacknowledged |= awaits_acknowledgement(task, epoch);
             events.entry(shard.0).or_default().push(TaskEvent {
                 job: key.job.0,
                 task: key.task,
@@ -152,6 +171,10 @@
                 phase: task.phase,
             });
         }
+        if is_unacknowledged {
+            let resend_at = ctx.now + REPORT_RESEND_INTERVAL_MS + resend_jitter_ms(idx);
+            self.resend_queue.push_back((resend_at, idx));
+        }
     }
 
     fn send_commands(&mut self, ctx: &mut Context, idx: MachineIdx) {
--- a/crates/core/src/placed.rs
+++ b/crates/core/src/placed.rs
@@ -1,5 +1,5 @@
 //! The placements of a job: its tasks that are, or may be, on machines.
-use crate::ids::{Attempt, MachineIdx, Shard, Timestamp, ZoneIdx};
+use crate::ids::{Attempt, Epoch, MachineIdx, Shard, Timestamp, ZoneIdx};
 use crate::stored::QuotaUse;
 use leaddeal_wire::mesh::TaskPhase;
 use leaddeal_wire::worker::TaskState;
@@ -42,6 +42,13 @@
     pub placed_at: Timestamp,
     /// When the `Place` message was last sent; 0: never by this owner of the shard.
     pub sent_at: Timestamp,
+    /// Epoch of the participant's owner that it was last sent to; 0: none.
+    pub sent_to: Epoch,
+    /// Epoch of the participant's owner that last reported the attempt; 0: none, or the owner has asked
+    /// for the `Place` message since.
+    pub reported_by: Epoch,
+    /// No report has arrived since the `Place` message was last sent.
+    pub awaits_report: bool,
     /// The pending stop. `None`: the task is not to stop.
     pub stop: Option<PendingStop>,
     /// The placement comes from a decision of an older epoch, and the task was not yet seen on its
@@ -57,6 +64,29 @@
         matches!(self.phase, TaskPhase::On(TaskState::Running | TaskState::Saving))
     }
 
+    /// Returns whether nothing has to be sent to the participant's present owner: it has reported the
+    /// attempt as being on its machine.
+    pub fn is_settled(&self, owner_epoch: Epoch) -> bool {
+        self.reported_by == owner_epoch && self.phase != TaskPhase::Decided
+    }
+
+    /// Records that a `Place` message is being sent to the participant's owner with that epoch.
+    pub fn record_sent(&mut self, owner_epoch: Epoch, now: Timestamp) {
+        self.sent_at = now;
+        self.sent_to = owner_epoch;
+        self.awaits_report = true;
+    }
+
+    /// Records a report of the attempt by the participant's owner with that epoch. An owner answers each
+    /// `Place` message with a report and also reports each new phase. It repeats a report that tells
+    /// nothing new for as long as it has received no `Place` message, which is therefore due again.
+    fn record_report(&mut self, owner_epoch: Epoch, phase: TaskPhase) {
+        let is_repeated =
+            self.reported_by == owner_epoch && self.phase == phase && !self.awaits_report;
+        self.reported_by = if is_repeated { Epoch(0) } else { owner_epoch };
+        self.awaits_report = false;
+    }
+
     /// Requests that the task stops. If it is to stop already, its grace period does not change.
     fn stop_unless_stopping(&mut self, grace_s: f64) {
         self.stop.get_or_insert(PendingStop::new(grace_s));
@@ -99,7 +129,7 @@
     }
 
     /// Returns all tasks with their placements, ordered by task, to record what was sent and stopped.
-    /// Zone and phase must not be changed through this: see [`Placements::set_phase`].
+    /// Zone and phase must not be changed through this: see [`Placements::record_report`].
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (u32, &mut Placement)> {
         self.by_task.iter_mut().map(|(task, placement)| (*task, placement))
     }
@@ -156,9 +186,11 @@
         Some(placement)
     }
 
-    /// Sets the last known phase of a task. Does nothing if the task is not placed.
-    pub fn set_phase(&mut self, task: u32, phase: TaskPhase) {
+    /// Records the phase of a task as the participant's owner with that epoch has reported it. Does
+    /// nothing if the task is not placed.
+    pub fn record_report(&mut self, task: u32, owner_epoch: Epoch, phase: TaskPhase) {
         let Some(placement) = self.by_task.get_mut(&task) else { return };
+        placement.record_report(owner_epoch, phase);
         self.running -= u32::from(placement.is_running());
         placement.phase = phase;
         placement.adopted &= phase == TaskPhase::Decided;
--- a/crates/testkit/src/sim/service_check.rs
+++ b/crates/testkit/src/sim/service_check.rs
@@ -1,4 +1,5 @@
-//! Checks, once all faults are over, that each shard is served: a controller acts for it.
+//! Checks, once all faults are over, that each shard is served: a controller acts for it, and the owner of its
+//! machines knows what each task there takes.
 use super::{Sim, NODES};
 use crate::broken_rule::{BrokenRule, Rule};
 use leaddeal_core::ids::Shard;
@@ -28,6 +29,7 @@
 #[derive(Default)]
 pub(super) struct ServiceCheck {
     owners: [MissingSince; NODES],
+    shapes: [MissingSince; NODES],
 }
 
 impl Sim {
@@ -39,6 +41,14 @@
                 return Err(Rule::Unserved.broken(format!("nobody acts for shard {shard}")));
             }
         }
+        for node in 0..NODES {
+            let core = self.controllers[node].core.as_ref();
+            let unknown = core.map_or(0, leaddeal_core::Node::tasks_of_unknown_shape);
+            if self.service_check.shapes[node].update(self.now, unknown > 0) {
+                return Err(Rule::Unserved
+                    .broken(format!("n-{node} does not know what {unknown} tasks take")));
+            }
+        }
         Ok(())
     }
 
--- a/crates/testkit/tests/lost_steps.rs
+++ b/crates/testkit/tests/lost_steps.rs
@@ -1,7 +1,7 @@
 //! Steps that are taken once, on an event, and are lost or come at a bad moment: acquisitions of shards, and each
 //! kind of message between controllers. Once all faults are over, every shard must be served again: a controller
 //! acts for it, its machines are offered, and users are told its jobs' states.
-use common::{crash, run_short_and_long};
+use common::{crash, run_short_and_long, CANCEL_MS};
 use leaddeal_testkit::script::{Fault, Written};
 use leaddeal_testkit::sim::Sim;
 
@@ -29,3 +29,16 @@
         );
     }
 }
+
+/// Guards against machines that are offered to nobody: a controller restarts while the controllers do not reach each
+/// other, so that it is not told what the running tasks on its machines take.
+#[test]
+fn owner_restarts_while_controllers_are_partitioned() {
+    // Late in the run, so that services which are on the machines then still run when the check is made.
+    for (seed, node, ms, back_ms) in
+        [(1, 2, 8000, 3000), (2, 0, 8000, 3000), (3, 1, 5000, 200), (4, 2, CANCEL_MS, 6000)]
+    {
+        let script = [(125_000, Fault::PeerPartition { ms }), (125_500, crash(node, back_ms))];
+        run_short_and_long("an owner restarts during a partition", seed, &script);
+    }
+}
