Repeat placements until the task runs, since its phases are reported once

Cause: each phase is reported once, and Place, which is answered by the present phase, was repeated only until the first one was seen. Now it is repeated until the phase is one that only the attempt's end changes.

--- a/crates/core/src/placed.rs
+++ b/crates/core/src/placed.rs
@@ -65,9 +65,16 @@
     }
 
     /// Returns whether nothing has to be sent to the participant's present owner: it has reported the
-    /// attempt as being on its machine.
+    /// attempt, in a phase that does not change before the attempt ends. The change to another phase is
+    /// reported only once, so a report of it that is lost is requested by another `Place` message.
     pub fn is_settled(&self, owner_epoch: Epoch) -> bool {
-        self.reported_by == owner_epoch && self.phase != TaskPhase::Decided
+        let will_change = match self.phase {
+            TaskPhase::Decided | TaskPhase::On(TaskState::Fetching | TaskState::Waiting) => true,
+            TaskPhase::On(TaskState::Running | TaskState::Saving | TaskState::Exited)
+            | TaskPhase::Exited(..)
+            | TaskPhase::Gone => false,
+        };
+        self.reported_by == owner_epoch && !will_change
     }
 
     /// Records that a `Place` message is being sent to the participant's owner with that epoch.
--- a/crates/testkit/src/broken_rule.rs
+++ b/crates/testkit/src/broken_rule.rs
@@ -22,8 +22,10 @@
     Quota,
     /// No job is left waiting while there is free capacity that fits it and its team's quota allows.
     Starved,
-    /// Once all faults are over, a controller acts for each shard.
+    /// Once all faults are over, a controller acts for each shard and knows what the tasks on its machines take.
     Unserved,
+    /// A job is not reported as queued while a task of it has been running for longer than a state may lag.
+    RunningCalledQueued,
     /// Controllers report a state only for jobs that were submitted.
     UnknownJob,
     /// A job is done only once all its tasks are done.
@@ -60,6 +62,7 @@
             Rule::Quota => "quota",
             Rule::Starved => "neglected",
             Rule::Unserved => "unserved",
+            Rule::RunningCalledQueued => "wrong_state",
             Rule::UnknownJob => "invented",
             Rule::NotDone => "not_done",
             Rule::InvalidAccepted => "accepted_wrong",
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod gangs;
 pub mod histories;
 pub mod invalid_submissions;
+pub mod reported_state;
 pub mod rules;
 pub mod script;
 pub mod served;
--- a/crates/testkit/src/rules.rs
+++ b/crates/testkit/src/rules.rs
@@ -1,6 +1,7 @@
 //! Checks the rules of the protocol after each step of a simulation.
 use crate::broken_rule::{BrokenRule, Rule};
 use crate::coscheduling::CoschedulingCheck;
+use crate::reported_state::ReportedStateCheck;
 use crate::served::Served;
 use crate::starvation::{Cluster, StarvationCheck};
 use crate::user_knowledge::{RequestKind, UserKnowledge, UserRequest};
@@ -111,6 +112,8 @@
     pub peak_usage: BTreeMap<String, (f64, f64)>,
     /// Checks that the tasks of gangs run together.
     pub coscheduling: CoschedulingCheck,
+    /// Checks the states that users are told.
+    pub reported_state: ReportedStateCheck,
     /// Teams and their quotas.
     pub teams: Vec<Team>,
     cancel_ms: u64,
@@ -133,6 +136,7 @@
         workers: &BTreeMap<String, Worker>,
     ) -> Result<(), BrokenRule> {
         self.check_cancelled(now, workers)?;
+        self.reported_state.update(now, workers);
         let placements = Placements::new(now, workers, &self.jobs);
         check_quotas(&self.teams, &mut self.peak_usage, &self.jobs, &placements)?;
         for started in placements.all.difference(&self.placements) {
@@ -296,6 +300,7 @@
         let Some(state) = state else { return Ok(()) };
         self.last_answer_at.insert(id.into(), now);
         self.check_status(id, state.status, done)?;
+        self.reported_state.check(now, self.fault_free_since, id, state.status)?;
         if request.kind == RequestKind::Cancel {
             self.unanswered_cancels.remove(id);
         }
--- a/crates/testkit/src/sim/setup.rs
+++ b/crates/testkit/src/sim/setup.rs
@@ -106,6 +106,7 @@
         sim.preload();
         sim.state.max_changes_per_s = sim.plan.store_changes_per_s;
         sim.state.repeatable = None;
+        sim.rules.reported_state.is_enabled = sim.plan.extra_latency_ms == 0;
         for node in 0..NODES {
             sim.start(node);
         }
--- a/crates/testkit/tests/lost_steps.rs
+++ b/crates/testkit/tests/lost_steps.rs
@@ -1,7 +1,7 @@
 //! Steps that are taken once, on an event, and are lost or come at a bad moment: acquisitions of shards, and each
 //! kind of message between controllers. Once all faults are over, every shard must be served again: a controller
 //! acts for it, its machines are offered, and users are told its jobs' states.
-use common::{crash, run_short_and_long, CANCEL_MS};
+use common::{cancel, crash, run_short_and_long, CANCEL_MS};
 use leaddeal_testkit::script::{Fault, Written};
 use leaddeal_testkit::sim::Sim;
 
@@ -42,3 +42,89 @@
         run_short_and_long("an owner restarts during a partition", seed, &script);
     }
 }
+
+/// Guards against a running task that users are told is queued: it begins to run during a partition, so that the
+/// message that says so is lost.
+#[test]
+fn phases_reported_during_partition_are_learned_later() {
+    for seed in 1..=4 {
+        let partition = |at| (at, Fault::PeerPartition { ms: 1000 });
+        let script: Vec<_> = (30_000..145_000).step_by(2100).map(partition).collect();
+        run_short_and_long("tasks begin to run during partitions", seed, &script);
+    }
+}
+
+/// The kinds of messages between controllers, by the names of the traffic tally.
+const MESSAGE_KINDS: [&str; 24] = [
+    "mesh Beat",
+    "mesh Ask",
+    "mesh Told",
+    "mesh WantShard",
+    "mesh Report",
+    "mesh Answered",
+    "mesh Request",
+    "mesh Close",
+    "mesh Place",
+    "mesh Stop",
+    "mesh Forget",
+    "mesh Offers",
+    "mesh AskDecision",
+    "mesh Room",
+    "mesh Events",
+    "mesh TeamUsage",
+    "mesh TeamGrant",
+    "mesh Lacks",
+    "mesh Machines",
+    "mesh MachinesAgain",
+    "mesh Base",
+    "mesh Drain",
+    "mesh Drained",
+    "mesh Released",
+];
+
+/// Returns a script in which messages of this kind are lost once at each of several moments: while nothing happens,
+/// and while owners of shards change, machines are lost, users cancel and workers reach their owner only through a
+/// sibling. The other kinds of its own make the kind occur.
+fn lose_kind(kind: &'static str) -> Vec<(u64, Fault)> {
+    let mut script = vec![
+        (40_000, crash(0, 300)),
+        cancel(47_000),
+        (60_000, crash(1, 6000)),
+        (75_000, Fault::LoseMachines { machines: 1 }),
+        (85_000, Fault::WorkerPartition { node: 2, ms: 20_000 }),
+        cancel(90_000),
+        (120_000, crash(2, 300)),
+        (125_000, Fault::RestartWorkers { machines: 3 }),
+    ];
+    for at in (20_000..140_000).step_by(1500) {
+        script.push((at, Fault::LoseMessagesOfKind { kind, times: 1 }));
+    }
+    if kind == "mesh MachinesAgain" {
+        script.push((30_000, Fault::LoseMessagesOfKind { kind: "mesh Machines", times: 3 }));
+    }
+    if kind == "mesh AskDecision" {
+        script.push((30_000, Fault::LosePeerMessages { percent: 20, ms: 60_000 }));
+    }
+    script
+}
+
+/// Guards against a step that hangs on one message: whichever kind of message is lost now and then, its sender or its
+/// receiver notices and makes up for it.
+#[test]
+fn each_kind_of_message_may_be_lost() {
+    let next = std::sync::atomic::AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while let Some(kind) =
+                    MESSAGE_KINDS.get(next.fetch_add(1, std::sync::atomic::Ordering::Relaxed))
+                {
+                    let runs = run_short_and_long(kind, 1, &lose_kind(kind));
+                    let lost = |sim: &Sim| sim.observations.lost_messages.get(kind).copied();
+                    let lost: u64 = runs.iter().filter_map(lost).sum();
+                    assert!(lost > 0, "{kind}: no such message was lost");
+                }
+            });
+        }
+    });
+}
