--- a/crates/core/src/coordinator/mod.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -28,6 +28,7 @@
 use load::LoadStage;
 use negotiation::{NegotiationState, PendingDecision};
 use quota_state::QuotaState;
+use resend::AssignmentBudget;
 use service_statistics::ServiceStatistics;
 use statistics::DecisionCounts;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -101,6 +102,7 @@
     /// The first unsettled job that the next resend looks at, so that a full batch delays no job for
     /// long.
     next_resend_job: JobId,
+    assignment_budget: AssignmentBudget,
     gpu_work: GpuWorkCache,
     service_statistics: ServiceStatistics,
     /// Jobs whose cancellation is being written.
@@ -141,6 +143,7 @@
             compaction: CompactionState::default(),
             unsettled_jobs: BTreeSet::new(),
             next_resend_job: JobId(0),
+            assignment_budget: AssignmentBudget::default(),
             gpu_work: GpuWorkCache::default(),
             service_statistics: ServiceStatistics::default(),
             cancelling: BTreeSet::new(),
--- a/crates/core/src/coordinator/resend.rs
+++ b/crates/core/src/coordinator/resend.rs
@@ -19,15 +19,39 @@
 const RESEND_CHECK_INTERVAL_MS: u64 = 500;
 /// Maximum number of tasks in one message that tells a participant to place them.
 const MAX_ASSIGNMENTS_PER_MESSAGE: usize = 200;
-/// Maximum number of tasks in all such messages of one check. All placements at a participant are due when
-/// its owner changes.
-const MAX_ASSIGNMENTS_PER_CHECK: usize = 1000;
+/// Maximum number of tasks in all such messages within one interval between checks. All placements at a
+/// participant are due when its owner changes.
+const MAX_ASSIGNMENTS_PER_INTERVAL: usize = 1000;
 
 /// Returns by how much the resends for a task are delayed, in ms.
 fn resend_jitter_ms(job: JobId, task: u32) -> u64 {
     job.0.wrapping_mul(31).wrapping_add(u64::from(task).wrapping_mul(17)) % RESEND_JITTER_MS
 }
 
+/// How many tasks may still be placed again. Jobs are also checked between two regular checks, when a stop
+/// is urgent, so the maximum is counted by time and not by check.
+#[derive(Debug, Default)]
+pub(super) struct AssignmentBudget {
+    left: usize,
+    refill_at: Timestamp,
+}
+
+impl AssignmentBudget {
+    fn refill(&mut self, now: Timestamp) {
+        if now >= self.refill_at {
+            self.left = MAX_ASSIGNMENTS_PER_INTERVAL;
+            self.refill_at = now + RESEND_CHECK_INTERVAL_MS;
+        }
+    }
+
+    /// Takes one task from the budget. Returns false if nothing is left.
+    fn take_one(&mut self) -> bool {
+        let has_room = self.left > 0;
+        self.left -= usize::from(has_room);
+        has_room
+    }
+}
+
 /// A stop to send.
 struct StopMessage {
     participant: Shard,
@@ -52,7 +76,7 @@
     owners: &'a [ParticipantOwner],
     places: PlaceBatch,
     /// How many tasks may still be added to `places`.
-    assignments_left: usize,
+    budget: &'a mut AssignmentBudget,
     /// The first job with a task that had no room in `places`.
     first_deferred: Option<JobId>,
     stops: Vec<StopMessage>,
@@ -118,11 +142,10 @@
         if placement.sent_to == owner.epoch && self.now < resend_at {
             return;
         }
-        if self.assignments_left == 0 {
+        if !self.budget.take_one() {
             self.first_deferred.get_or_insert(job);
             return;
         }
-        self.assignments_left -= 1;
         placement.record_sent(owner.epoch, self.now);
         let target = PlaceTarget { participant, job, adopt: placement.adopted };
         let assignment = Assignment {
@@ -162,11 +185,12 @@
             let placed = self.jobs.values().filter(|job| !job.placed.is_empty());
             self.unsettled_jobs.extend(placed.map(|job| job.id));
         }
+        self.assignment_budget.refill(ctx.now);
         let mut batch = ResendBatch {
             now: ctx.now,
             owners: &owners,
             places: PlaceBatch::default(),
-            assignments_left: MAX_ASSIGNMENTS_PER_CHECK,
+            budget: &mut self.assignment_budget,
             first_deferred: None,
             stops: Vec::new(),
         };
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -1,6 +1,7 @@
 //! Scripted faults, for the difficult cases of failover and recovery, and the observations of a run.
 
-use std::collections::BTreeMap;
+use leaddeal_wire::mesh::Assignment;
+use std::collections::{BTreeMap, HashSet};
 
 /// A fault. `ms` is its duration; `ms` and all fields that end in `_ms` are simulated milliseconds.
 ///
@@ -133,6 +134,11 @@
     pub lost_messages: BTreeMap<&'static str, u64>,
     /// Number of delayed heartbeats that arrived, by the step of a change of owner that they waited for.
     pub delayed_heartbeats: BTreeMap<OwnerChange, u64>,
+    /// Attempts that a controller has told another one to place.
+    pub named_attempts: HashSet<(u64, u32, u64)>,
+    /// Messages that told another controller to place attempts once more: when, the index of the sender, and the
+    /// number of these attempts.
+    pub attempts_named_again: Vec<(u64, usize, usize)>,
     /// Scripted crashes after a write: when, and what was written.
     pub crashes_after_write: Vec<(u64, Written)>,
     /// Scripted outages of the state service after a write: when, and what was written.
@@ -140,6 +146,28 @@
 }
 
 impl Observations {
+    /// Records a message by which the controller `from` tells another one to place attempts of a job.
+    pub(crate) fn note_placed(&mut self, now: u64, from: usize, job: u64, attempts: &[Assignment]) {
+        let named = &mut self.named_attempts;
+        let again = attempts.iter().filter(|a| !named.insert((job, a.task, a.attempt))).count();
+        if again > 0 {
+            self.attempts_named_again.push((now, from, again));
+        }
+    }
+
+    /// Returns the largest number of attempts that one controller named again within `ms`, counting from the time
+    /// `at`, and the number that all of them named again.
+    pub fn named_again_within(&self, ms: u64, at: u64) -> (usize, usize) {
+        let later: Vec<_> = self.attempts_named_again.iter().filter(|n| n.0 >= at).collect();
+        let in_window = |first: &(u64, usize, usize)| -> usize {
+            let window = first.0..first.0 + ms;
+            let of_sender = later.iter().filter(|n| n.1 == first.1 && window.contains(&n.0));
+            of_sender.map(|named| named.2).sum()
+        };
+        let largest = later.iter().map(|first| in_window(first)).max().unwrap_or(0);
+        (largest, later.iter().map(|named| named.2).sum())
+    }
+
     /// Returns the time at which the last shard was loaded (0 if none) and the number of shards loaded, counting only
     /// those loaded after the time `at`.
     pub fn loaded_after(&self, at: u64) -> (u64, usize) {
--- a/crates/testkit/src/sim/effects.rs
+++ b/crates/testkit/src/sim/effects.rs
@@ -95,6 +95,9 @@
         latency_ms: u64,
     ) -> Result<(), BrokenRule> {
         let to: usize = to_name[2..].parse().map_err(|_| Rule::UnknownNode.broken(to_name))?;
+        if let NodeMessage::Shard { msg: ShardMessage::Place { job, picks, .. }, .. } = &msg {
+            self.observations.note_placed(self.now, from, *job, picks);
+        }
         let not_sent = self.plan.defect == InjectedDefect::NoGrants && is_grant(&msg);
         if not_sent
             || self.is_peer_message_lost(&msg)
--- a/crates/testkit/tests/recovery.rs
+++ b/crates/testkit/tests/recovery.rs
@@ -240,3 +240,20 @@
         assert!(sim.rules.starts > 200, "only {} starts", sim.rules.starts);
     }
 }
+
+/// Guards against a storm of messages when an owner of machines is new: all tasks on its machines are to be named to
+/// it again, which is done in batches.
+#[test]
+fn new_owner_is_told_placements_in_batches() {
+    const BATCH_TASKS: usize = 1000;
+    /// Shorter than the interval between two batches, so that it touches two of them at most.
+    const WINDOW_MS: u64 = 400;
+    let crash = Fault::Crash { nodes: vec![2], back_ms: 300 };
+    let plan = Plan { seconds: 60, script: vec![(40_000, crash)], ..Plan::fleet(7, 40) };
+    let mut sim = Sim::new(Plan { long_tasks: true, ..plan });
+    run(&mut sim, 50_000);
+    let (largest, all) = sim.observations.named_again_within(WINDOW_MS, START_MS + 40_000);
+    println!("{all} attempts were named again, at most {largest} at once");
+    assert!(all > 2 * BATCH_TASKS, "only {all} attempts");
+    assert!(largest <= 2 * BATCH_TASKS, "{largest} attempts at once");
+}
