Simulator: late copies of messages and requests that were carried out

The operators saw a task run on two machines (`ran_twice`): a command batch that a worker had carried out and answered reached it once more 13.7 s later, under the token that was still valid, after the task had failed, had been forgotten and ran elsewhere. The simulator held batches back and lost their answers, but never delivered one again, so no test could show it.

`Fault::LateCopies` copies a share of the messages of one kind: command batches, heartbeats, messages between controllers, transactions and lease calls, launches and releases, submissions and cancellations. A copy arrives 1 s to 3 min after the original, and nobody waits for its answer. A transaction without changes only compares, as the protocol says: it gets the present revision and makes no new one.

--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -142,7 +142,7 @@
 }
 
 /// A call to the state service.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum StoreCall {
     /// Creates a lease.
     NewLease {
@@ -185,7 +185,7 @@
 }
 
 /// A call to the cloud service.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum CloudCall {
     /// Reads the machine types.
     Catalog,
--- a/crates/testkit/src/script.rs
+++ b/crates/testkit/src/script.rs
@@ -67,6 +67,8 @@
     LosePeerMessages { percent: u32, ms: u64 },
     /// The next `times` messages of this kind between controllers are lost. `kind` is a name that [`crate::tally`] uses.
     LoseMessagesOfKind { kind: &'static str, times: u32 },
+    /// Of this share of the messages or requests of one kind that were delivered, a copy arrives 1 s to 3 min later.
+    LateCopies { of: CopiedKind, percent: u32, ms: u64 },
     /// New instances are up 0.2 to 2 s after their launch.
     FastBoots { ms: u64 },
     /// Commands to workers, or the answers to them, are delayed by `by_ms`.
@@ -90,6 +92,35 @@
     ZonePartitionWithNode { zone: &'static str, node: usize, ms: u64 },
 }
 
+/// A kind of messages or requests of which late copies arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CopiedKind {
+    /// Command batches that a worker has executed or refused.
+    Commands,
+    /// Heartbeats of workers.
+    Heartbeats,
+    /// Messages between controllers.
+    PeerMessages,
+    /// Transactions and lease calls that the state service has carried out.
+    StoreCalls,
+    /// Launches and releases that the cloud has carried out.
+    CloudCalls,
+    /// Submissions and cancellations that were answered with the job's state.
+    UserRequests,
+}
+
+impl CopiedKind {
+    /// All kinds.
+    pub const ALL: [CopiedKind; 6] = [
+        CopiedKind::Commands,
+        CopiedKind::Heartbeats,
+        CopiedKind::PeerMessages,
+        CopiedKind::StoreCalls,
+        CopiedKind::CloudCalls,
+        CopiedKind::UserRequests,
+    ];
+}
+
 /// A step of a change of a shard's owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum OwnerChange {
@@ -119,6 +150,8 @@
 pub struct Observations {
     /// Loaded shards: when, and the index of the controller.
     pub loaded: Vec<(u64, usize)>,
+    /// Number of late copies that were sent, by kind.
+    pub late_copies: BTreeMap<CopiedKind, u64>,
     /// Number of pages that the state service returned.
     pub pages: u64,
     /// Number of calls of the state service other than watches.
--- a/crates/testkit/src/sim/dispatch.rs
+++ b/crates/testkit/src/sim/dispatch.rs
@@ -14,6 +14,7 @@
             Event::NodeInput { process, input } => self.deliver_input(process, input)?,
             Event::Store(call) => self.execute_store_call(call)?,
             Event::Heartbeat(heartbeat) => self.deliver_heartbeat(heartbeat)?,
+            Event::LateCopy(copy) => self.deliver_copy(copy)?,
             Event::CheckLiveness => self.check_liveness()?,
             Event::GangStep => self.gang_step()?,
             Event::NextSubmission => self.next_submission()?,
--- a/crates/testkit/src/sim/effects.rs
+++ b/crates/testkit/src/sim/effects.rs
@@ -57,7 +57,10 @@
             Effect::Cloud { op, call } => {
                 let result = match self.controllers[node].faults.isolated {
                     true => CloudResult::Refused,
-                    false => self.execute_cloud_call(call)?,
+                    false => {
+                        self.copy_cloud_call(&call);
+                        self.execute_cloud_call(call)?
+                    }
                 };
                 let input = Input::Cloud { op, result };
                 self.schedule_input(CLOUD_CALL_MS + latency_ms, self.process(node), input);
@@ -65,8 +68,8 @@
             Effect::Commands { machine, batch, commands: command_batch, .. } => {
                 let process = self.process(node);
                 let commands = command_batch;
-                let answer_lost = false;
-                let sent = SentCommands { process, machine, batch, commands, answer_lost };
+                let (answer_lost, is_copy) = (false, false);
+                let sent = SentCommands { process, machine, batch, commands, answer_lost, is_copy };
                 self.send_commands(sent, latency_ms);
             }
             Effect::Log { event, details, .. } => self.note_log(node, event, &details),
@@ -110,6 +113,7 @@
         let previous = self.last_delivery.get(&(from, to)).copied().unwrap_or(0);
         let time = (self.now + latency_ms).max(previous);
         self.last_delivery.insert((from, to), time);
+        self.copy_peer_message(from, to, &msg);
         let input = Input::Mesh { from: format!("n-{from}"), msg: Box::new(msg) };
         self.schedule_input(time - self.now, self.process(to), input);
         Ok(())
--- a/crates/testkit/src/sim/event.rs
+++ b/crates/testkit/src/sim/event.rs
@@ -1,5 +1,6 @@
 //! The simulator's events and the queue that orders them.
 use super::controllers::Process;
+use super::late_copies::LateCopy;
 use crate::script::Fault;
 use crate::user_knowledge::{RequestKind, UserRequest};
 use leaddeal_core::io::{Input, StoreCall, StoreResult, WorkerReply};
@@ -30,6 +31,8 @@
     HeartbeatReply(SentHeartbeatReply),
     /// Commands reach a worker.
     Commands(SentCommands),
+    /// A late copy of a message or request arrives.
+    LateCopy(LateCopy),
     /// A launched instance is up.
     InstanceUp { machine: String },
     /// A crashed controller restarts.
@@ -101,6 +104,7 @@
 }
 
 /// Commands on their way to a worker.
+#[derive(Clone)]
 pub(super) struct SentCommands {
     pub(super) process: Process,
     pub(super) machine: String,
@@ -108,6 +112,8 @@
     pub(super) commands: CommandBatch,
     /// The sender is told only that the outcome is unknown.
     pub(super) answer_lost: bool,
+    /// The worker has received the commands before.
+    pub(super) is_copy: bool,
 }
 
 /// Identifies a request to a controller process.
--- a/crates/testkit/src/sim/fault_injection.rs
+++ b/crates/testkit/src/sim/fault_injection.rs
@@ -48,6 +48,11 @@
             Fault::OutageAfterWrite { what, slow_ms, after_ms, ms } => {
                 self.outages_after_writes.push(OutageAfterWrite { what, slow_ms, after_ms, ms });
             }
+            // Messages and requests of all kinds.
+            Fault::LateCopies { of, percent, ms } => {
+                let windows = self.windows.late_copies.entry(of).or_default();
+                windows.add(percent.into(), now + ms);
+            }
             // Messages between controllers.
             Fault::LosePeerMessages { percent, ms } => {
                 self.windows.lost_peer_messages.add(percent.into(), now + ms);
--- a/crates/testkit/src/sim/fault_windows.rs
+++ b/crates/testkit/src/sim/fault_windows.rs
@@ -1,4 +1,5 @@
 //! Faults with a duration. Several windows of the same kind may overlap.
+use crate::script::CopiedKind;
 use rand::rngs::SmallRng;
 use rand::Rng;
 use std::collections::BTreeMap;
@@ -44,6 +45,8 @@
     pub(super) flaky_store: FaultWindows,
     /// The store ends all watches.
     pub(super) no_watches: FaultWindows,
+    /// Percentage of the messages and requests, by kind, of which a copy arrives later.
+    pub(super) late_copies: BTreeMap<CopiedKind, FaultWindows>,
     /// Percentage of the transactions that get no answer and are executed late.
     pub(super) late_writes: FaultWindows,
     /// Percentage of the transactions that are executed at once and whose answers are lost.
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -18,6 +18,7 @@
 use delayed_heartbeats::DelayedHeartbeats;
 use event::{EventQueue, PendingRequest, RequestId};
 use fault_windows::ActiveWindows;
+use late_copies::CopyDraws;
 use leaddeal_wire::settings::Team;
 use leaddeal_wire::user::JobKind;
 use lost_messages::MessageLoss;
@@ -37,6 +38,7 @@
 mod fault_injection;
 mod fault_windows;
 mod jobs;
+mod late_copies;
 mod lost_messages;
 mod plan;
 mod preload;
@@ -78,6 +80,7 @@
     /// All controllers are partitioned from each other until this time.
     peer_partition_until: u64,
     windows: ActiveWindows,
+    copy_draws: CopyDraws,
     delayed_heartbeats: DelayedHeartbeats,
     crashes_after_writes: Vec<CrashAfterWrite>,
     outages_after_writes: Vec<OutageAfterWrite>,
--- a/crates/testkit/src/sim/run.rs
+++ b/crates/testkit/src/sim/run.rs
@@ -67,7 +67,10 @@
     fn is_check_due(&mut self, event: &Event) -> bool {
         let concerns_worker = matches!(
             event,
-            Event::WorkerStep { .. } | Event::HeartbeatReply(_) | Event::Commands(_)
+            Event::WorkerStep { .. }
+                | Event::HeartbeatReply(_)
+                | Event::Commands(_)
+                | Event::LateCopy(_)
         );
         self.worker_events += u64::from(concerns_worker);
         let interval = u64::from(self.plan.scale).pow(2).min(MAX_CHECK_INTERVAL);
--- a/crates/testkit/src/sim/setup.rs
+++ b/crates/testkit/src/sim/setup.rs
@@ -1,6 +1,7 @@
 //! Setup of a run: settings, machine types, and the state before the first event.
 use super::controllers::Controller;
 use super::event::{Event, EventQueue};
+use super::late_copies::CopyDraws;
 use super::query_bursts::QueryBursts;
 use super::service_check::ServiceCheck;
 use super::{
@@ -124,6 +125,7 @@
             controllers: (0..NODES).map(|_| Controller::default()).collect(),
             peer_partition_until: 0,
             windows: ActiveWindows::default(),
+            copy_draws: CopyDraws::new(plan.seed),
             delayed_heartbeats: DelayedHeartbeats::default(),
             crashes_after_writes: Vec::new(),
             outages_after_writes: Vec::new(),
--- a/crates/testkit/src/sim/store.rs
+++ b/crates/testkit/src/sim/store.rs
@@ -1,5 +1,6 @@
 //! Calls to the simulated store, and their answers.
 use super::event::{Event, OpenWatch, SentStoreAnswer, SentStoreCall};
+use super::late_copies::NO_SENDER;
 use super::Sim;
 use crate::broken_rule::{BrokenRule, Rule};
 use leaddeal_core::io::{Input, StoreCall, StoreResult};
@@ -48,7 +49,10 @@
                 self.schedule_input(STORE_TIMEOUT_MS, process, unknown);
                 let held_ms = self.rng.random_range(LATE_WRITE_MS);
                 let call = StoreCall::Transaction(transaction);
-                self.schedule(held_ms, Event::Store(SentStoreCall { process, op: 0, call }));
+                self.schedule(
+                    held_ms,
+                    Event::Store(SentStoreCall { process, op: NO_SENDER, call }),
+                );
             }
             call => self.schedule(latency_ms, Event::Store(SentStoreCall { process, op, call })),
         }
@@ -59,14 +63,14 @@
     /// # Errors
     /// [`Rule::TransactionRepeated`] if a late copy of the transaction would be executed again.
     pub(super) fn execute_store_call(&mut self, sent: SentStoreCall) -> Result<(), BrokenRule> {
-        let SentStoreCall { process, op, call } = sent;
-        let mut result = self.store_result(process.node, &call);
-        if let (StoreCall::Transaction(transaction), StoreResult::Committed(_)) = (&call, &result) {
+        let (process, op, call) = (sent.process, sent.op, &sent.call);
+        let mut result = self.store_result(process.node, call);
+        if let (StoreCall::Transaction(transaction), StoreResult::Committed(_)) = (call, &result) {
             self.note_terminal_states(transaction);
         }
         // The answer is lost: the call was executed, but the controller does not learn it.
         if self.plan.random_faults && self.rng.random_range(0..LOST_ANSWER_ODDS) == 0
-            || self.draw_answer_loss(process.node, &call, &result)
+            || self.draw_answer_loss(process.node, call, &result)
         {
             result = StoreResult::Unknown;
         }
@@ -74,6 +78,13 @@
             return Err(Rule::TransactionRepeated
                 .broken(format!("a late copy would do it again: {transaction}")));
         }
+        let is_executed = !matches!(
+            result,
+            StoreResult::Refused | StoreResult::RateLimited | StoreResult::Unknown
+        );
+        if is_executed && op != NO_SENDER {
+            self.copy_store_call(&sent);
+        }
         self.observations.store_calls += 1;
         self.observations.pages += u64::from(matches!(result, StoreResult::Page(_)));
         if matches!(result, StoreResult::Unknown) {
--- a/crates/testkit/src/sim/users.rs
+++ b/crates/testkit/src/sim/users.rs
@@ -210,6 +210,9 @@
             reply.state.as_ref(),
             &self.done,
         )?;
+        if matches!(reply.status, 200 | 201) {
+            self.copy_user_request(request);
+        }
         if self.rules.knowledge(id) != before {
             self.query_after_answer(id);
         }
--- a/crates/testkit/src/sim/workers.rs
+++ b/crates/testkit/src/sim/workers.rs
@@ -110,6 +110,7 @@
             let copy = SentHeartbeat { node: to, sent_at: 0, heartbeat: heartbeat.clone() };
             self.schedule(copy_ms, Event::Heartbeat(copy));
         }
+        self.copy_heartbeat(&heartbeat);
         let sent_at = self.now;
         let is_delayed = self.delayed_heartbeats.hold(&heartbeat, sent_at, &mut self.rng);
         if !is_delayed && !is_partitioned {
@@ -250,6 +251,9 @@
             worker.receive_commands(now, commands.token, &commands.commands, &mut self.done, jobs);
         }
         let state = Box::new(worker.heartbeat());
+        if !sent.is_copy {
+            self.copy_commands(sent);
+        }
         if sent.answer_lost {
             return;
         }
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -201,6 +201,10 @@
         if transaction.changes.iter().any(lacks_lease) {
             return StoreResult::NoLease;
         }
+        // A transaction without changes only compares.
+        if transaction.changes.is_empty() {
+            return StoreResult::Committed(self.revision);
+        }
         self.revision += 1;
         self.changes += transaction.changes.len() as u64;
         if self.defect == StoreDefect::StaleReads {
