Let a worker forget an attempt only under a newer token than its start's

Cause: a command whose effect depends on what its receiver still remembers. A worker executes a start that it doesn't know, and it was told to forget an attempt as soon as its start was answered. The check before a `forget` asked about starts in flight or without an answer, and never about answered ones.

Fix: a worker refuses commands under a smaller token than it has seen, for good. So an attempt is forgotten only in a response whose token is larger than the one that its start was sent under. The larger token needs no acquisition: the revision of a transaction that held under the condition on the shard's own epoch proves that the shard was owned at that revision, so that every later owner's epoch is larger and no earlier owner's token is as large. Decisions, compactions and cancellations bring such revisions; without one, a transaction without changes is made while attempts wait, at most one in 2 s. A machine's token is raised only when an attempt needs it, in the response that carries the commands to forget, and not while a batch is in flight. A wait would not do: copies come minutes late.

An unanswered start is certainly over once the worker shows a newer token, so that its attempt no longer counts until the incarnation ends.

Bound: while 100 ended attempts of a machine await a newer token, further starts go into responses to heartbeats, which are never executed late (chosen; a heartbeat of 64 KiB holds several hundred).

Guard: ForgetNeedsNewerToken, missed by `CommandCopies` and a unit test.

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -141,6 +141,13 @@
         /// The epoch under which this node owned it.
         epoch: Epoch,
     },
+    /// The transaction without changes that proves that this node still owns the shard.
+    ProveOwnership {
+        /// The shard.
+        shard: Shard,
+        /// The epoch under which this node owns it.
+        epoch: Epoch,
+    },
     /// The read of one page, or the watch, of the records that a coordinator loads.
     ReadRecords {
         /// The shard.
--- a/crates/core/src/guards.rs
+++ b/crates/core/src/guards.rs
@@ -127,6 +127,9 @@
     UnansweredStartRemembered,
     /// Prevents a start from being forgotten while its command is in flight.
     StartInFlightRemembered,
+    /// Prevents an attempt from being forgotten by a worker that would execute a late copy of its
+    /// answered start.
+    ForgetNeedsNewerToken,
     /// Prevents a task that was placed under an older epoch from being started again.
     AdoptedTaskNotStarted,
     /// Prevents a job from being called done before its last task is.
--- a/crates/core/src/machine/attempt.rs
+++ b/crates/core/src/machine/attempt.rs
@@ -57,6 +57,9 @@
     /// A start command that was sent directly got no response: a delayed copy of it may still be
     /// executed. Such a copy has no effect as long as the worker has not forgotten the attempt.
     pub start_uncertain: bool,
+    /// Newest fencing token under which this owner sent the start command directly; `None`: it has not. A late copy
+    /// of the command is executed by a worker that has seen no newer token and has forgotten the attempt.
+    pub start_token: Option<u64>,
     /// The worker's newest heartbeat contained the attempt.
     pub reported: bool,
     /// The request to stop the attempt. `None`: it is not to stop.
@@ -88,6 +91,7 @@
             in_last_response: false,
             direct_batch: None,
             start_uncertain: false,
+            start_token: None,
             reported: false,
             stop: None,
             adopted: false,
--- a/crates/core/src/machine/commands.rs
+++ b/crates/core/src/machine/commands.rs
@@ -37,12 +37,13 @@
         lease: OwnerLease,
     ) -> Vec<Command> {
         let mut commands = Vec::new();
-        let incarnation = self.incarnation;
+        let response =
+            ResponseContext { incarnation: self.incarnation, token: self.token, now, lease };
         for (key, task) in &mut self.tasks {
             if commands.len() >= max {
                 break;
             }
-            add_response_commands(&mut commands, key, task, incarnation, now, lease);
+            add_response_commands(&mut commands, key, task, response);
         }
         commands
     }
@@ -51,19 +52,22 @@
     /// in flight, and stops. Records the starts as sent with this batch.
     pub fn direct_commands(&mut self, batch: u64, max: usize) -> Vec<Command> {
         let mut commands = Vec::new();
-        let incarnation = self.incarnation;
+        let (incarnation, token) = (self.incarnation, self.token);
+        let may_start_directly = self.may_start_directly();
         for (key, task) in &mut self.tasks {
             if commands.len() >= max {
                 break;
             }
             match (task.phase, task.stop) {
                 (TaskPhase::Decided, None)
-                    if task.belongs_to(incarnation)
+                    if may_start_directly
+                        && task.belongs_to(incarnation)
                         && !task.start_uncertain
                         && !task.in_last_response
                         && task.may_start() =>
                 {
                     task.direct_batch = Some(batch);
+                    task.start_token = Some(token);
                     commands.push(command(CommandKind::Start, key, None));
                 }
                 (TaskPhase::On(state), Some(stop)) if may_stop(state, stop.grace_s) => {
@@ -100,22 +104,33 @@
     state != TaskState::Saving || grace_s == 0.0
 }
 
-/// Returns whether the worker may forget an attempt that has exited. It may not while a start command
-/// that was sent directly is in flight: a worker that has forgotten the attempt would start it again.
-fn may_forget(task: &TaskOnMachine) -> bool {
-    let start_possible = task.start_uncertain || task.start_in_flight();
+/// Returns whether a worker that has seen this token may forget an attempt that has exited. It may not while it would
+/// execute a start command that was sent directly: the command may be in flight, or a copy of it may arrive late.
+fn may_forget(task: &TaskOnMachine, token: u64) -> bool {
+    let start_possible =
+        task.start_uncertain || task.start_in_flight() || !task.is_start_fenced(token);
     task.end_acknowledged && task.reported && !start_possible
 }
 
-/// Appends the response commands for one attempt. `incarnation` is the worker's current one.
+/// What a response to a heartbeat is made for.
+#[derive(Clone, Copy)]
+struct ResponseContext {
+    /// The worker's current incarnation.
+    incarnation: u64,
+    /// The token of the response.
+    token: u64,
+    now: Timestamp,
+    lease: OwnerLease,
+}
+
+/// Appends the response commands for one attempt.
 fn add_response_commands(
     commands: &mut Vec<Command>,
     key: &AttemptKey,
     task: &mut TaskOnMachine,
-    incarnation: u64,
-    now: Timestamp,
-    lease: OwnerLease,
+    response: ResponseContext,
 ) {
+    let ResponseContext { incarnation, token, now, lease } = response;
     let uncertain = lease == OwnerLease::Uncertain;
     match (task.phase, task.stop) {
         (TaskPhase::Decided, _) if uncertain && is_enforced(Guard::StartNeedsValidLease) => {}
@@ -139,7 +154,7 @@
         (TaskPhase::On(state), Some(stop)) if may_stop(state, stop.grace_s) => {
             commands.push(command(CommandKind::Stop, key, Some(stop.grace_s)));
         }
-        (TaskPhase::Exited(..), _) if may_forget(task) => {
+        (TaskPhase::Exited(..), _) if may_forget(task, token) => {
             commands.push(command(CommandKind::Forget, key, None));
         }
         _ => {}
--- a/crates/core/src/machine/heartbeat.rs
+++ b/crates/core/src/machine/heartbeat.rs
@@ -110,7 +110,7 @@
 
     fn apply_token(&mut self, token: u64, epoch: Epoch, now: Timestamp) {
         // A worker that restarted without the token accepts responses of previous owners again.
-        let confirmed = token == epoch.0;
+        let confirmed = (epoch.0..=self.token.max(epoch.0)).contains(&token);
         if confirmed && self.reported_token < token {
             self.reachability.record_proof();
         }
@@ -126,6 +126,10 @@
             self.lease_granted_at = self.lease_granted_at.max(now);
         }
         self.token_confirmed = confirmed;
+        // A command that the worker refuses by its token is never executed, however late it arrives.
+        for task in self.tasks.values_mut().filter(|task| task.start_uncertain) {
+            task.start_uncertain = task.start_token.is_none_or(|start_token| start_token >= token);
+        }
     }
 
     fn apply_task_reports(&mut self, heartbeat: &WorkerHeartbeat, now: Timestamp) {
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -7,6 +7,7 @@
 //! | `heartbeat` | applies heartbeats, and tracks the worker's lease |
 //! | `commands` | the commands to send to the worker |
 //! | `load` | the resources that the attempts use |
+//! | `token` | the fencing token under which the worker is commanded |
 use crate::ids::{ImageIdx, JobId, MachineTypeIdx, Timestamp, ZoneIdx};
 use crate::reachability::Reachability;
 use load::Load;
@@ -18,11 +19,13 @@
 mod load;
 #[cfg(test)]
 mod tests;
+mod token;
 
 pub(crate) use attempt::{AttemptKey, StopRequest, TaskOnMachine};
 pub(crate) use commands::{BatchOutcome, OwnerLease};
 pub(crate) use heartbeat::HeartbeatKind;
 pub(crate) use load::GpuTasks;
+pub(crate) use token::TokenDemand;
 
 /// An image in a machine's cache.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -62,6 +65,9 @@
     pub seq: u64,
     /// Fencing token in the newest heartbeat.
     reported_token: u64,
+    /// Newest fencing token of this owner that the worker may have seen, under which commands are sent to it. It is
+    /// raised by [`Machine::raise_token`].
+    pub token: u64,
     /// The worker has reported this owner's fencing token, so it ignores responses and commands of
     /// previous owners.
     pub token_confirmed: bool,
@@ -117,6 +123,7 @@
             incarnation: 0,
             seq: 0,
             reported_token: 0,
+            token: 0,
             token_confirmed: false,
             lease_granted_at: now,
             last_heartbeat_at: now,
--- a/crates/core/src/machine/tests.rs
+++ b/crates/core/src/machine/tests.rs
@@ -122,6 +122,83 @@
     assert_eq!((forgets(Some(3)), forgets(None)), (0, 1));
 }
 
+/// Returns a machine with attempts of one job that were started directly under the token 5, and have ended.
+fn machine_with_ended_attempts(attempts: u32) -> Machine {
+    let mut machine = Machine::new(0);
+    (machine.incarnation, machine.token) = (1, 5);
+    let ended = TaskOnMachine::new(None, TaskPhase::Exited(ExitReason::Done, false), 1);
+    for task in 0..attempts {
+        let started = TaskOnMachine { start_token: Some(5), ..ended.clone() };
+        let task_on_machine = TaskOnMachine { end_acknowledged: true, reported: true, ..started };
+        machine
+            .tasks
+            .insert(AttemptKey { job: JobId(7), task, attempt: Attempt(9) }, task_on_machine);
+    }
+    machine
+}
+
+/// Guards against a late copy of an answered start: a worker that has forgotten the attempt would start it again.
+#[test]
+fn forgets_attempt_only_under_newer_token_than_its_start() {
+    let mut machine = machine_with_ended_attempts(1);
+    let forgets = |machine: &mut Machine| machine.response_commands(0, 9, OwnerLease::Valid).len();
+    assert_eq!((machine.raise_token(5), forgets(&mut machine)), (TokenDemand::Unmet, 0));
+    machine.direct_batch = Some(3);
+    assert_eq!(
+        (machine.raise_token(8), machine.token),
+        (TokenDemand::Met, 5),
+        "a batch is in flight"
+    );
+    assert_eq!(forgets(&mut machine), 0);
+    machine.direct_batch = None;
+    assert_eq!((machine.raise_token(8), machine.token), (TokenDemand::Met, 8));
+    assert_eq!(forgets(&mut machine), 1);
+}
+
+/// A token that no attempt needs would make each worker send a heartbeat for it.
+#[test]
+fn token_is_raised_only_when_needed() {
+    let mut machine = machine_with_ended_attempts(1);
+    machine.tasks.values_mut().for_each(|task| task.end_acknowledged = false);
+    assert_eq!((machine.raise_token(8), machine.token), (TokenDemand::Met, 5));
+}
+
+#[test]
+fn ended_attempts_that_await_a_newer_token_are_bounded() {
+    let start = AttemptKey { job: JobId(8), task: 0, attempt: Attempt(10) };
+    let sent = |retained| {
+        let mut machine = machine_with_ended_attempts(retained);
+        machine.tasks.insert(start, TaskOnMachine::new(None, TaskPhase::Decided, 1));
+        let direct = machine.direct_commands(1, 9).len();
+        let in_response = machine.response_commands(0, 9, OwnerLease::Valid).len();
+        (direct, in_response)
+    };
+    assert_eq!(sent(99), (1, 1));
+    assert_eq!(sent(100), (0, 1), "started in the response to a heartbeat, which is never late");
+}
+
+/// A worker refuses an unanswered start once it has shown a newer token, so that the attempt can no longer start.
+#[test]
+fn unanswered_start_is_over_once_worker_shows_newer_token() {
+    let mut machine = Machine::new(0);
+    (machine.incarnation, machine.token) = (1, 5);
+    let key = AttemptKey { job: JobId(7), task: 0, attempt: Attempt(9) };
+    let mut task = TaskOnMachine::new(None, TaskPhase::Decided, 1);
+    task.stop = Some(StopRequest { grace_s: 0.0, since: 0 });
+    (task.start_token, task.start_uncertain) = (Some(5), true);
+    machine.tasks.insert(key, task);
+    let phase_after = |machine: &mut Machine, seq, token| {
+        let shown = WorkerHeartbeat { seq, ..heartbeat(1, token) };
+        machine.apply_heartbeat(&shown, Epoch(5), HeartbeatKind::Periodic, 1000);
+        machine.tasks[&key].phase
+    };
+    assert_eq!(phase_after(&mut machine, 1, 5), TaskPhase::Decided);
+    assert_eq!((machine.raise_token(8), machine.token), (TokenDemand::Met, 8));
+    assert_eq!(phase_after(&mut machine, 2, 5), TaskPhase::Decided, "the worker has not seen it");
+    assert_eq!(phase_after(&mut machine, 3, 8), TaskPhase::Gone);
+    assert!(machine.token_confirmed);
+}
+
 #[cfg(feature = "guards")]
 #[test]
 fn tests_fail_without_their_guards() {
@@ -145,4 +222,8 @@
         Guard::StartInFlightRemembered,
         keeps_attempt_while_its_start_is_in_flight,
     );
+    assert_fails_without(
+        Guard::ForgetNeedsNewerToken,
+        forgets_attempt_only_under_newer_token_than_its_start,
+    );
 }
--- a/crates/core/src/node/stored.rs
+++ b/crates/core/src/node/stored.rs
@@ -35,6 +35,9 @@
             Operation::Release { shard, epoch } => {
                 self.on_release_result(effects, shard, epoch, &result);
             }
+            Operation::ProveOwnership { shard, epoch } => {
+                self.on_ownership_result(effects, shard, epoch, &result);
+            }
             Operation::ReadRecords { shard, epoch } => {
                 self.on_records_read(effects, shard, epoch, result);
             }
@@ -108,6 +111,9 @@
     ) {
         let slot = &mut self.owned[shard.0 as usize];
         let Some(active) = slot.as_mut().filter(|active| active.epoch == epoch) else { return };
+        if let StoreResult::Committed(revision) = *result {
+            active.participant.record_ownership(revision);
+        }
         let mut context = self.shared.context(effects);
         let coordinator = &mut active.coordinator;
         let ownership = match write {
@@ -119,8 +125,31 @@
         };
         self.needs_round |= context.needs_round;
         if ownership == Ownership::Lost {
-            self.drop_shard(effects, shard);
-            self.shard_list.relist_from(effects.now);
+            self.lose_shard(effects, shard);
         }
     }
+
+    /// Handles the answer to the transaction that only proves the ownership of a shard.
+    fn on_ownership_result(
+        &mut self,
+        effects: &mut Effects,
+        shard: Shard,
+        epoch: Epoch,
+        result: &StoreResult,
+    ) {
+        let slot = &mut self.owned[shard.0 as usize];
+        let Some(active) = slot.as_mut().filter(|active| active.epoch == epoch) else { return };
+        active.participant.end_ownership_call();
+        match result {
+            StoreResult::Committed(revision) => active.participant.record_ownership(*revision),
+            StoreResult::Conflict(_) => self.lose_shard(effects, shard),
+            _ => {}
+        }
+    }
+
+    /// Stops acting for a shard that has another owner, and lists the shards' keys again.
+    fn lose_shard(&mut self, effects: &mut Effects, shard: Shard) {
+        self.drop_shard(effects, shard);
+        self.shard_list.relist_from(effects.now);
+    }
 }
--- a/crates/core/src/participant/heartbeats.rs
+++ b/crates/core/src/participant/heartbeats.rs
@@ -6,6 +6,7 @@
 use crate::io::LogLevel;
 use crate::machine::{
     AttemptKey, BatchOutcome, CachedImage, HeartbeatKind, Machine, OwnerLease, StopRequest,
+    TokenDemand,
 };
 use crate::names::Shape;
 use crate::reachability::HeartbeatPath;
@@ -107,7 +108,7 @@
         heartbeat: &WorkerHeartbeat,
         via: HeartbeatPath,
     ) -> Option<HeartbeatResponse> {
-        if heartbeat.token > self.epoch.0 {
+        if heartbeat.token > self.ownership_proof.newest_token() {
             return None;
         }
         let idx = ctx.names.machine(&heartbeat.machine);
@@ -117,7 +118,7 @@
         }
         machine.reachability.record_heartbeat(via, ctx.config.heartbeat_due_ms, ctx.now);
         self.apply_heartbeat(ctx, idx, heartbeat, HeartbeatKind::Periodic);
-        let token = self.epoch.0;
+        let newest_token = self.ownership_proof.newest_token();
         let machine = self.machine_or_insert(idx);
         // The worker's lease has expired and its tasks were declared gone. A late heartbeat of that
         // incarnation must not renew the lease.
@@ -127,13 +128,18 @@
         machine.lease_granted_at = ctx.now;
         let newest = (heartbeat.incarnation, heartbeat.seq) == (machine.incarnation, machine.seq);
         if !newest {
-            return Some(HeartbeatResponse { token, commands: Vec::new() });
+            return Some(HeartbeatResponse { token: machine.token, commands: Vec::new() });
         }
+        let token_demand = machine.raise_token(newest_token);
         // Stops are still sent while this node's lease is uncertain: the decision to stop is durable
         // and holds under any owner. Otherwise a cancelled task runs on if an outage of the store
         // begins between the cancellation and the worker's first heartbeat to this owner.
         let lease = if ctx.lease_valid { OwnerLease::Valid } else { OwnerLease::Uncertain };
         let commands = machine.response_commands(ctx.now, MAX_COMMANDS, lease);
+        let token = machine.token;
+        if token_demand == TokenDemand::Unmet {
+            self.ownership_proof.want();
+        }
         Some(HeartbeatResponse { token, commands })
     }
 
--- a/crates/core/src/participant/machine_registry.rs
+++ b/crates/core/src/participant/machine_registry.rs
@@ -40,8 +40,11 @@
         // This owner has received no heartbeat from the machine yet, but a previous owner may have
         // granted its worker a lease until this participant acquired the shard.
         let (acquired_at, lease_checks) = (self.acquired_at, &mut self.lease_checks);
+        // This owner may have known the machine before and sent it a token as new as this one.
+        let token = self.ownership_proof.newest_token();
         self.machines.entry(idx).or_insert_with(|| {
-            let machine = Machine::new(acquired_at);
+            let mut machine = Machine::new(acquired_at);
+            machine.token = token;
             lease_checks.insert((machine.next_check_at, idx));
             machine
         })
--- a/crates/core/src/participant/mod.rs
+++ b/crates/core/src/participant/mod.rs
@@ -11,17 +11,21 @@
 //! - `preemption`, `replica_moves`: tasks that are stopped to make capacity for other work;
 //! - `failure_attribution`: whether a failed task counts against its machine or its job;
 //! - `task_commands`: placements, stops and acknowledgements sent by coordinators;
+//! - `ownership_proof`: the fencing tokens that may be used for workers;
 //! - `task_events`: events for coordinators, command batches for workers;
 //! - `capacity_notices`: notices of freed capacity for coordinators that are short of it;
 //! - `inventory`, `release`: the machine list sent to the provisioner, and its drain and release
 //!   requests;
 //! - `statistics`, `offer_obstacles`: counts for the operators' log.
-use crate::context::Context;
+use crate::context::{Context, Operation};
 use crate::guards::{is_enforced, Guard};
 use crate::ids::{Epoch, JobId, MachineIdx, NegotiationId, Shard, Timestamp, PROVISIONER_SHARD};
+use crate::io::StoreCall;
+use crate::keys;
 use crate::machine::Machine;
 use crate::shard::plus_clock_drift;
 use leaddeal_wire::mesh::ShardMessage;
+use leaddeal_wire::state::{Condition, Transaction};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 mod capacity_index;
@@ -38,6 +42,7 @@
 mod machine_registry;
 mod offer;
 mod offer_obstacles;
+mod ownership_proof;
 mod preemption;
 mod queue_rank;
 mod release;
@@ -57,6 +62,7 @@
 use holds::Holds;
 use inventory::InventoryPublisher;
 use offer_obstacles::ObstacleCounts;
+use ownership_proof::OwnershipProof;
 use reservations::Reservations;
 
 /// Maximum number of commands in one heartbeat response or command batch.
@@ -75,10 +81,11 @@
 pub(crate) struct Participant {
     /// The shard that the machines belong to.
     pub shard: Shard,
-    /// Epoch under which this participant owns the shard; also its fencing token for workers.
+    /// Epoch under which this participant owns the shard; also its first fencing token for workers.
     pub epoch: Epoch,
     /// When this participant acquired the shard.
     pub acquired_at: Timestamp,
+    ownership_proof: OwnershipProof,
     /// Latest time at which a previous owner of the shard may have answered a worker.
     previous_owners_until: Timestamp,
     /// The machines from which a heartbeat was received or that a coordinator named.
@@ -137,6 +144,7 @@
             shard,
             epoch,
             acquired_at: now,
+            ownership_proof: OwnershipProof::new(epoch),
             previous_owners_until,
             machines: BTreeMap::new(),
             last_base: None,
@@ -227,6 +235,29 @@
         self.check_due_machines(ctx);
         self.queue_resends(ctx.now);
         self.ask_for_decisions(ctx);
+        self.prove_ownership(ctx);
+    }
+
+    /// Records that a transaction conditional on this participant's epoch held at this revision.
+    pub fn record_ownership(&mut self, revision: u64) {
+        self.ownership_proof.record(revision);
+    }
+
+    /// Notes that the transaction that only proves the ownership was answered, or will not be.
+    pub fn end_ownership_call(&mut self) {
+        self.ownership_proof.end_call();
+    }
+
+    /// Sends a transaction that only proves the ownership, if workers need a newer fencing token and no other write
+    /// of this shard has brought one. It changes nothing in the store.
+    fn prove_ownership(&mut self, ctx: &mut Context) {
+        if !ctx.lease_valid || !self.ownership_proof.take_due(ctx.now) {
+            return;
+        }
+        let condition = Condition { key: keys::shard_key(self.shard), version: self.epoch.0 };
+        let transaction = Transaction { conditions: vec![condition], changes: Vec::new() };
+        let operation = Operation::ProveOwnership { shard: self.shard, epoch: self.epoch };
+        ctx.call_store(operation, StoreCall::Transaction(transaction));
     }
 
     /// Asks the coordinators of open negotiations for their decisions. A hold ends only when its
--- a/crates/core/src/participant/task_events.rs
+++ b/crates/core/src/participant/task_events.rs
@@ -190,7 +190,7 @@
         }
         machine.direct_batch = Some(batch);
         let incarnation = machine.incarnation;
-        let command_batch = CommandBatch { token: self.epoch.0, incarnation, commands };
+        let command_batch = CommandBatch { token: machine.token, incarnation, commands };
         ctx.send_commands(idx, machine.addr.clone(), batch, command_batch);
     }
 }
--- a/crates/core/src/participant/tests.rs
+++ b/crates/core/src/participant/tests.rs
@@ -10,9 +10,11 @@
 use crate::names::Names;
 use crate::shard::{Owner, ShardView};
 use leaddeal_wire::cloud::{Catalog, MachineType};
-use leaddeal_wire::mesh::{Assignment, OfferRequest, QueuePosition, Shape as WireShape};
+use leaddeal_wire::mesh::{
+    Assignment, AttemptRef, OfferRequest, QueuePosition, Shape as WireShape,
+};
 use leaddeal_wire::user::{JobKind, Priority};
-use leaddeal_wire::worker::WorkerHeartbeat;
+use leaddeal_wire::worker::{ExitReason, TaskId, TaskReport, TaskState, WorkerHeartbeat};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -373,6 +375,72 @@
     assert_eq!(starts(true, EPOCH.0 + 1), 1, "the cancellation was never written");
 }
 
+/// A task ends whose start was sent directly: the worker forgets it only in a response under a newer token, which a
+/// write of the shard or, without one, a transaction without changes brings.
+#[test]
+fn ended_attempt_is_forgotten_under_newly_proven_token() {
+    let mut world = World::new();
+    let mut participant = Participant::new(Shard(0), EPOCH, 1, 1, PREVIOUS_OWNER_GRACE_MS);
+    let exited = |seq, token| {
+        let task = TaskReport {
+            task: TaskId::parse("wk-000007/0"),
+            attempt: 3,
+            state: TaskState::Exited,
+            exit_reason: Some(ExitReason::Error),
+            saved: None,
+        };
+        WorkerHeartbeat { token, tasks: vec![task], ..heartbeat("n-000001", seq) }
+    };
+    let pick = Assignment { task: 0, attempt: 3, machine: "n-000001".into(), incarnation: 1 };
+    let shape = offer_request(7, JobKind::Array, 1, None).shape;
+    let ended = AttemptRef {
+        job: 7,
+        task: 0,
+        attempt: 3,
+        machine: "n-000001".into(),
+        incarnation: Some(1),
+    };
+    world.at(1000, |context| {
+        participant.handle_heartbeat(context, &heartbeat("n-000001", 1), None);
+        let place = ShardMessage::Place { job: 7, shape, picks: vec![pick], adopt: false };
+        participant.handle(context, Shard(0), EPOCH, place);
+        participant.flush(context);
+    });
+    let response = |participant: &mut Participant, context: &mut Context, seq, token| {
+        let response = participant.handle_heartbeat(context, &exited(seq, token), None);
+        response.map(|response| (response.token, response.commands.len()))
+    };
+    world.at(2000, |context| {
+        let answered = Some(&exited(2, EPOCH.0));
+        participant.handle_batch_outcome(context, "n-000001", (EPOCH.0 << 20) + 1, answered, false);
+        participant.handle(context, Shard(0), EPOCH, ShardMessage::Forget { what: vec![ended] });
+        assert_eq!(response(&mut participant, context, 3, EPOCH.0), Some((EPOCH.0, 0)));
+        participant.tick(context);
+        let proofs = context.effects.list.iter().filter(|effect| {
+            matches!(effect, Effect::Store { call: StoreCall::Transaction(t), .. } if t.changes.is_empty())
+        });
+        assert_eq!(proofs.count(), 1, "no write of the shard has brought a newer token");
+        participant.end_ownership_call();
+        participant.record_ownership(EPOCH.0 + 7);
+        assert_eq!(response(&mut participant, context, 4, EPOCH.0), Some((EPOCH.0 + 7, 1)));
+        assert_eq!(response(&mut participant, context, 5, EPOCH.0 + 8), None, "a newer owner's");
+    });
+}
+
+/// A machine that was removed and comes back may have seen any token that its owner has used.
+#[test]
+fn machine_that_comes_back_is_not_sent_an_older_token() {
+    let mut world = World::new();
+    let mut participant = Participant::new(Shard(0), EPOCH, 1, 1, PREVIOUS_OWNER_GRACE_MS);
+    participant.record_ownership(EPOCH.0 + 7);
+    world.at(1000, |context| {
+        let back = WorkerHeartbeat { token: EPOCH.0 + 7, ..heartbeat("n-000001", 1) };
+        let response = participant.handle_heartbeat(context, &back, None);
+        assert_eq!(response.map(|response| response.token), Some(EPOCH.0 + 7));
+        assert!(participant.machines.values().all(|machine| machine.token_confirmed));
+    });
+}
+
 #[cfg(feature = "guards")]
 #[test]
 fn tests_fail_without_their_guards() {
--- a/crates/testkit/src/histories.rs
+++ b/crates/testkit/src/histories.rs
@@ -1,6 +1,6 @@
 //! Fault histories that violate an invariant when a guard of the core is disabled. Each is a named plan that takes
 //! any seed.
-use crate::script::Fault;
+use crate::script::{CopiedKind, Fault};
 use crate::sim::{Plan, TeamQuotas, NODES};
 
 /// Duration of the workers' leases: the same share of a `cancel_s` of 30 s as in the operators' largest deployment.
@@ -58,11 +58,13 @@
     ConfirmedThenEnded,
     /// Machines miss the commands to stop cancelled tasks; then a store outage.
     DeafThenOutage,
+    /// Late copies of commands that were answered arrive after their tasks have failed and moved.
+    CommandCopies,
 }
 
 impl History {
     /// All histories.
-    pub const ALL: [History; 21] = [
+    pub const ALL: [History; 22] = [
         History::Ordinary,
         History::Storm,
         History::Gap,
@@ -84,6 +86,7 @@
         History::FrozenDeciding,
         History::ConfirmedThenEnded,
         History::DeafThenOutage,
+        History::CommandCopies,
     ];
 
     /// Returns the scripted faults. A history with a script has no random faults.
@@ -109,6 +112,7 @@
             History::FrozenDeciding => frozen_deciding(),
             History::ConfirmedThenEnded => confirmed_then_ended(),
             History::DeafThenOutage => deaf_then_outage(),
+            History::CommandCopies => command_copies(),
         }
     }
 
@@ -309,3 +313,9 @@
         (61_800, Fault::StoreOutage { ms: 60_000 }),
     ]
 }
+
+fn command_copies() -> Script {
+    let copies = Fault::LateCopies { of: CopiedKind::Commands, percent: 50, ms: 150_000 };
+    let fail = |at| (at, Fault::FailTasks { machines: 4, ms: 6000 });
+    (20_000..140_000).step_by(20_000).map(fail).chain([(0, copies)]).collect()
+}
--- a/crates/testkit/src/sim/late_copies.rs
+++ b/crates/testkit/src/sim/late_copies.rs
@@ -25,6 +25,16 @@
 /// Number of a store call whose answer nobody waits for.
 pub(super) const NO_SENDER: u64 = 0;
 
+/// Returns the odds of a copy with random faults: one of this many messages of the kind is copied.
+fn odds(kind: CopiedKind) -> u32 {
+    match kind {
+        CopiedKind::Commands | CopiedKind::StoreCalls => 20,
+        CopiedKind::Heartbeats => 80,
+        CopiedKind::PeerMessages => 100,
+        CopiedKind::CloudCalls | CopiedKind::UserRequests => 5,
+    }
+}
+
 /// A message between controllers that arrives once more.
 pub(super) struct PeerMessageCopy {
     from: usize,
@@ -72,7 +82,9 @@
     fn draw_copy_delay(&mut self, kind: CopiedKind) -> Option<u64> {
         let rng = &mut self.copy_draws.0;
         let windows = self.windows.late_copies.get_mut(&kind);
-        let is_copied = windows.is_some_and(|windows| windows.draw(self.now, rng));
+        let is_scripted = windows.is_some_and(|windows| windows.draw(self.now, rng));
+        let is_copied =
+            is_scripted || (self.plan.random_faults && rng.random_range(0..odds(kind)) == 0);
         *self.observations.late_copies.entry(kind).or_default() += u64::from(is_copied);
         is_copied.then(|| self.copy_draws.delay_ms())
     }
--- a/crates/testkit/tests/guards.rs
+++ b/crates/testkit/tests/guards.rs
@@ -42,7 +42,8 @@
     // Each of the two stops tasks that the other one does not reach.
     (&[Guard::StopResent, Guard::HeartbeatsNameCancellations], LateFinals, "ran_cancelled"),
     (&[Guard::TerminalJobStoppedByParticipant], Apart, "ran_cancelled"),
-    (&[Guard::UnansweredStartRemembered], Ordinary, "ran_twice"),
+    (&[Guard::UnansweredStartRemembered], HeldUp, "ran_twice"),
+    (&[Guard::ForgetNeedsNewerToken], CommandCopies, "ran_twice"),
     (&[Guard::CompletionNeedsAllTasks], Gap, "not_done"),
     (&[Guard::DecisionRecordKeptWhileLive], OldReports, "ran_twice"),
     (&[Guard::NewestAttemptAdopted], OldReports, "ran_twice"),
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -85,8 +85,8 @@
     /// The conditions, which must all hold.
     #[serde(rename = "when")]
     pub conditions: Vec<Condition>,
-    /// The changes, which are made in one revision.
-    #[serde(rename = "then")]
+    /// The changes, which are made in one revision. Without any, the conditions are only compared.
+    #[serde(rename = "then", default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<Change>,
 }
 
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -145,7 +145,7 @@
 /// The response to a heartbeat (200). It renews the worker's lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HeartbeatResponse {
-    /// The sender's fencing token: the epoch of the machine's shard.
+    /// The sender's fencing token: a store revision at which it owned the machine's shard.
     #[serde(rename = "helm")]
     pub token: u64,
     /// Commands, executed in this order.
