Refuse a placement of an attempt that has ended and was removed

Cause: the same class as with the workers: a message whose effect depends on what its receiver still remembers. A participant removes an attempt once its end is acknowledged and the worker has forgotten it. A copy of the placement then looked like a first one, and the attempt was started again.

Whether it can happen to real controllers is open: a connection delivers each message once, and a connection older than the newest is refused, but one that repeats the newest hello is not.

Fix: each machine keeps, for each coordinator, the newest attempt that was removed. Attempts are numbered upwards, so a placement of that attempt or an earlier one that isn't known is answered as gone and starts nothing. A first placement that was lost until a later attempt had ended is refused as well; its task is decided anew. The memory is one number for each machine and shard.

Guard: RemovedAttemptNotPlaced, missed by copy_of_placement_starts_no_removed_attempt.

--- a/crates/core/src/guards.rs
+++ b/crates/core/src/guards.rs
@@ -130,6 +130,8 @@
     /// Prevents an attempt from being forgotten by a worker that would execute a late copy of its
     /// answered start.
     ForgetNeedsNewerToken,
+    /// Prevents a late copy of a placement from starting an attempt that has ended and was removed.
+    RemovedAttemptNotPlaced,
     /// Prevents a task that was placed under an older epoch from being started again.
     AdoptedTaskNotStarted,
     /// Prevents a job from being called done before its last task is.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -63,6 +63,14 @@
     pub fn new(epoch: Epoch, round: u64) -> Attempt {
         Attempt((epoch.0 << ROUND_BITS) | (round & ROUND_MASK))
     }
+
+    /// Returns whether this attempt was decided no later than the other one of the same coordinator. The rounds of an
+    /// epoch begin anew after `ROUND_MASK`, so that those of half their number count as earlier.
+    pub fn is_up_to(self, other: Attempt) -> bool {
+        let (epoch, other_epoch) = (self.0 >> ROUND_BITS, other.0 >> ROUND_BITS);
+        let rounds_before = other.0.wrapping_sub(self.0) & ROUND_MASK;
+        epoch < other_epoch || (epoch == other_epoch && rounds_before <= ROUND_MASK / 2)
+    }
 }
 
 /// Hashes a number with the finalizer of `MurmurHash3`. The result must be the same on every node and
--- a/crates/core/src/machine/attempt.rs
+++ b/crates/core/src/machine/attempt.rs
@@ -1,6 +1,6 @@
 //! An attempt of a task on a machine.
 use crate::guards::{is_enforced, Guard};
-use crate::ids::{Attempt, Epoch, JobId, Timestamp};
+use crate::ids::{Attempt, Epoch, JobId, Shard, Timestamp};
 use crate::names::Shape;
 use leaddeal_wire::mesh::{AttemptRef, TaskPhase};
 use leaddeal_wire::worker::TaskId;
@@ -67,6 +67,8 @@
     /// The attempt was taken over by a new coordinator: it is kept if it is on the machine, but never
     /// started.
     pub adopted: bool,
+    /// Shard of the coordinator that placed the attempt here; `None`: it has only been reported or stopped.
+    pub placed_by: Option<Shard>,
     /// Epoch of the coordinator that last placed or stopped the attempt; 0: none. Reports are repeated
     /// until that is the present coordinator.
     pub acknowledged_by: Epoch,
@@ -95,6 +97,7 @@
             reported: false,
             stop: None,
             adopted: false,
+            placed_by: None,
             acknowledged_by: Epoch(0),
             end_acknowledged: false,
             notified: None,
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -7,16 +7,20 @@
 //! | `heartbeat` | applies heartbeats, and tracks the worker's lease |
 //! | `commands` | the commands to send to the worker |
 //! | `load` | the resources that the attempts use |
+//! | `removed_attempts` | the attempts that were removed |
 //! | `token` | the fencing token under which the worker is commanded |
-use crate::ids::{ImageIdx, JobId, MachineTypeIdx, Timestamp, ZoneIdx};
+use crate::guards::{is_enforced, Guard};
+use crate::ids::{Attempt, ImageIdx, JobId, MachineTypeIdx, Shard, Timestamp, ZoneIdx};
 use crate::reachability::Reachability;
 use load::Load;
+use removed_attempts::RemovedAttempts;
 use std::collections::{BTreeMap, VecDeque};
 
 mod attempt;
 mod commands;
 mod heartbeat;
 mod load;
+mod removed_attempts;
 #[cfg(test)]
 mod tests;
 mod token;
@@ -109,6 +113,7 @@
     /// When the participant next checks the lease if no heartbeat arrives.
     pub next_check_at: Timestamp,
     load: Load,
+    removed_attempts: RemovedAttempts,
 }
 
 impl Machine {
@@ -143,17 +148,29 @@
             lease_expired: false,
             next_check_at: now,
             load: Load::default(),
+            removed_attempts: RemovedAttempts::default(),
         }
     }
 
     /// Removes the attempts whose end the coordinator has acknowledged and that the worker has
     /// forgotten.
     pub fn remove_forgotten(&mut self) {
-        self.tasks.retain(|_, task| {
-            !(task.end_acknowledged && task.is_over() && !task.may_be_at_worker())
+        let removed = &mut self.removed_attempts;
+        self.tasks.retain(|key, task| {
+            let is_removed = task.end_acknowledged && task.is_over() && !task.may_be_at_worker();
+            if let Some(shard) = task.placed_by.filter(|_| is_removed) {
+                removed.record(shard, key.attempt);
+            }
+            !is_removed
         });
     }
 
+    /// Returns whether a placement by this shard's coordinator is of an attempt that was removed: a late copy.
+    pub fn is_removed(&self, shard: Shard, attempt: Attempt) -> bool {
+        self.removed_attempts.contains(shard, attempt)
+            && is_enforced(Guard::RemovedAttemptNotPlaced)
+    }
+
     /// Ends all attempts on the machine, because the worker's lease has expired or the machine was
     /// released.
     pub fn end_all_attempts(&mut self) {
--- a/crates/core/src/machine/tests.rs
+++ b/crates/core/src/machine/tests.rs
@@ -199,6 +199,22 @@
     assert!(machine.token_confirmed);
 }
 
+#[test]
+fn rounds_that_begin_anew_do_not_count_as_removed() {
+    let (shard, epoch) = (Shard(1), Epoch(4));
+    let mut removed = RemovedAttempts::default();
+    removed.record(shard, Attempt::new(epoch, (1 << 20) - 2));
+    let is_removed =
+        |removed: &RemovedAttempts, round| removed.contains(shard, Attempt::new(epoch, round));
+    assert!(is_removed(&removed, (1 << 20) - 3) && !is_removed(&removed, (1 << 20) - 1));
+    assert!(!is_removed(&removed, 1 << 20), "the first round of the next cycle");
+    removed.record(shard, Attempt::new(epoch, 1 << 20));
+    removed.record(shard, Attempt::new(epoch, (1 << 20) - 5));
+    assert!(is_removed(&removed, 1 << 20) && !is_removed(&removed, (1 << 20) + 1));
+    assert!(removed.contains(shard, Attempt::new(Epoch(3), 9)), "of an older epoch");
+    assert!(!removed.contains(Shard(0), Attempt::new(Epoch(3), 9)), "of another coordinator");
+}
+
 #[cfg(feature = "guards")]
 #[test]
 fn tests_fail_without_their_guards() {
--- a/crates/core/src/participant/task_commands.rs
+++ b/crates/core/src/participant/task_commands.rs
@@ -60,10 +60,11 @@
         let incarnation = assignment.incarnation;
         let idx = ctx.names.machine(&assignment.machine);
         let key = AttemptKey { job, task, attempt };
+        let known = self.machines.get(&idx);
+        let is_known = known.is_some_and(|machine| machine.tasks.contains_key(&key));
+        let is_removed = known.is_some_and(|machine| machine.is_removed(command.from, attempt));
         // A repeated message must not use up what is held for another task of the job.
-        let is_known =
-            self.machines.get(&idx).is_some_and(|machine| machine.tasks.contains_key(&key));
-        if !is_known {
+        if !is_known && !is_removed {
             self.holds.consume_one(idx, command.from, job);
             self.reservations.remove_one(job, idx);
         }
@@ -78,11 +79,12 @@
             // was never confirmed, or it has ended and was removed. Its share of the zone limit and of
             // the team's quota may have been given to another task, so it must not be started.
             // Otherwise a failover restarts stopped tasks and exceeds the team's quota.
-            let over = gone || (adopt && fenced);
+            let over = gone || is_removed || (adopt && fenced);
             let phase = if over { TaskPhase::Gone } else { TaskPhase::Decided };
             TaskOnMachine { adopted: adopt, ..TaskOnMachine::new(None, phase, incarnation) }
         });
         task.shape = Some(command.shape.clone());
+        task.placed_by = Some(command.from);
         task.acknowledge(command.epoch);
         // The sender does not know the attempt's phase, so it is sent again.
         task.notified = None;
--- a/crates/core/src/participant/tests.rs
+++ b/crates/core/src/participant/tests.rs
@@ -375,24 +375,26 @@
     assert_eq!(starts(true, EPOCH.0 + 1), 1, "the cancellation was never written");
 }
 
-/// A task ends whose start was sent directly: the worker forgets it only in a response under a newer token, which a
-/// write of the shard or, without one, a transaction without changes brings.
-#[test]
-fn ended_attempt_is_forgotten_under_newly_proven_token() {
-    let mut world = World::new();
-    let mut participant = Participant::new(Shard(0), EPOCH, 1, 1, PREVIOUS_OWNER_GRACE_MS);
-    let exited = |seq, token| {
-        let task = TaskReport {
-            task: TaskId::parse("wk-000007/0"),
-            attempt: 3,
-            state: TaskState::Exited,
-            exit_reason: Some(ExitReason::Error),
-            saved: None,
-        };
-        WorkerHeartbeat { token, tasks: vec![task], ..heartbeat("n-000001", seq) }
-    };
+/// Returns the message that places a task of one processor on the machine `n-000001`.
+fn placement() -> ShardMessage {
     let pick = Assignment { task: 0, attempt: 3, machine: "n-000001".into(), incarnation: 1 };
     let shape = offer_request(7, JobKind::Array, 1, None).shape;
+    ShardMessage::Place { job: 7, shape, picks: vec![pick], adopt: false }
+}
+
+/// Returns the worker's report of that task after it has failed.
+fn exited_task() -> TaskReport {
+    TaskReport {
+        task: TaskId::parse("wk-000007/0"),
+        attempt: 3,
+        state: TaskState::Exited,
+        exit_reason: Some(ExitReason::Error),
+        saved: None,
+    }
+}
+
+/// Returns the message that acknowledges the end of that task.
+fn end_acknowledgement() -> ShardMessage {
     let ended = AttemptRef {
         job: 7,
         task: 0,
@@ -400,10 +402,23 @@
         machine: "n-000001".into(),
         incarnation: Some(1),
     };
+    ShardMessage::Forget { what: vec![ended] }
+}
+
+/// A task ends whose start was sent directly: the worker forgets it only in a response under a newer token, which a
+/// write of the shard or, without one, a transaction without changes brings.
+#[test]
+fn ended_attempt_is_forgotten_under_newly_proven_token() {
+    let mut world = World::new();
+    let mut participant = Participant::new(Shard(0), EPOCH, 1, 1, PREVIOUS_OWNER_GRACE_MS);
+    let exited = |seq, token| WorkerHeartbeat {
+        token,
+        tasks: vec![exited_task()],
+        ..heartbeat("n-000001", seq)
+    };
     world.at(1000, |context| {
         participant.handle_heartbeat(context, &heartbeat("n-000001", 1), None);
-        let place = ShardMessage::Place { job: 7, shape, picks: vec![pick], adopt: false };
-        participant.handle(context, Shard(0), EPOCH, place);
+        participant.handle(context, Shard(0), EPOCH, placement());
         participant.flush(context);
     });
     let response = |participant: &mut Participant, context: &mut Context, seq, token| {
@@ -413,7 +428,7 @@
     world.at(2000, |context| {
         let answered = Some(&exited(2, EPOCH.0));
         participant.handle_batch_outcome(context, "n-000001", (EPOCH.0 << 20) + 1, answered, false);
-        participant.handle(context, Shard(0), EPOCH, ShardMessage::Forget { what: vec![ended] });
+        participant.handle(context, Shard(0), EPOCH, end_acknowledgement());
         assert_eq!(response(&mut participant, context, 3, EPOCH.0), Some((EPOCH.0, 0)));
         participant.tick(context);
         let proofs = context.effects.list.iter().filter(|effect| {
@@ -427,6 +442,39 @@
     });
 }
 
+/// Guards against a task that runs twice by a copy of its placement, after its attempt has ended and was removed.
+#[test]
+fn copy_of_placement_starts_no_removed_attempt() {
+    let mut world = World::new();
+    let mut participant = Participant::new(Shard(0), EPOCH, 1, 1, PREVIOUS_OWNER_GRACE_MS);
+    let batches = |context: &Context| {
+        let effects = context.effects.list.iter();
+        effects.filter(|effect| matches!(effect, Effect::Commands { .. })).count()
+    };
+    world.at(1000, |context| {
+        participant.handle_heartbeat(context, &heartbeat("n-000001", 1), None);
+        participant.handle(context, Shard(0), EPOCH, placement());
+        participant.flush(context);
+        assert_eq!(batches(context), 1);
+        let exited = WorkerHeartbeat { tasks: vec![exited_task()], ..heartbeat("n-000001", 2) };
+        participant.handle_batch_outcome(
+            context,
+            "n-000001",
+            (EPOCH.0 << 20) + 1,
+            Some(&exited),
+            false,
+        );
+        participant.handle(context, Shard(0), EPOCH, end_acknowledgement());
+        participant.handle_heartbeat(context, &heartbeat("n-000001", 3), None);
+        assert!(participant.machines.values().all(|machine| machine.tasks.is_empty()));
+    });
+    world.at(2000, |context| {
+        participant.handle(context, Shard(0), EPOCH, placement());
+        participant.flush(context);
+        assert_eq!(batches(context), 0, "the attempt has ended");
+    });
+}
+
 /// A machine that was removed and comes back may have seen any token that its owner has used.
 #[test]
 fn machine_that_comes_back_is_not_sent_an_older_token() {
@@ -457,4 +505,8 @@
         Guard::LateAssignmentStopped,
         late_placement_of_cancelled_job_starts_nothing,
     );
+    assert_fails_without(
+        Guard::RemovedAttemptNotPlaced,
+        copy_of_placement_starts_no_removed_attempt,
+    );
 }
--- a/crates/testkit/tests/guards.rs
+++ b/crates/testkit/tests/guards.rs
@@ -76,6 +76,7 @@
     Guard::StartInFlightRemembered,
     Guard::NoTasksWhileInTwoZones,
     Guard::LateAssignmentStopped,
+    Guard::RemovedAttemptNotPlaced,
 ];
 
 /// Guards without which no test fails yet: gaps in the tests, or guards implied by others
