Log what tells a double run apart: tokens, refusals, unexpected attempts

At info: acquisitions and losses with the range of tokens, loads with the revision and the tasks already placed, refused command batches with both tokens, and attempts that a worker reports although it obeys this owner and nobody placed them or they were forgotten; at most 20 lines of each of the last two kinds a minute and shard. Once a minute the counts of heartbeats, batches, refusals, commands, proofs of ownership and attempts that await a token. At debug: each start, stop, forget and final answer with its token and what allowed it. Debug lines are no longer formatted when they are not written.

A worker whose token is larger than any of this owner's is sent no batch for 2 s after it has refused one: it would refuse each at once, again and again. The outcome of a batch is passed on as its own type rather than as an option and a flag.

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -7,7 +7,9 @@
 use crate::ids::{
     shard_of_job, shard_of_machine, Epoch, JobId, MachineIdx, NodeIdx, Shard, Timestamp,
 };
-use crate::io::{CloudCall, Effect, Effects, OperationId, RequestId, StoreCall, UserReply};
+use crate::io::{
+    CloudCall, Effect, Effects, LogLevel, OperationId, RequestId, StoreCall, UserReply,
+};
 use crate::jobs::{Job, Objectives};
 use crate::keys;
 use crate::names::Names;
@@ -422,6 +424,7 @@
 
     /// Answers a request from a user, or from a sibling on behalf of a user.
     pub fn reply(&mut self, req: RequestId, reply: UserReply) {
+        self.log_final_answer(&reply);
         let Some(RelayedRequest { node, call }) = self.relayed_requests.remove(&req) else {
             self.effects.push(Effect::User { req, reply });
             return;
@@ -434,6 +437,22 @@
         self.effects.push(Effect::Mesh { to: node, msg: NodeMessage::JobAnswer { call, answer } });
     }
 
+    /// Logs an answer that calls a job done or cancelled, with the shard's epoch and whether this node answers as its
+    /// owner or from the store.
+    fn log_final_answer(&mut self, reply: &UserReply) {
+        let is_final =
+            |state: &&JobState| matches!(state.status, JobStatus::Done | JobStatus::Cancelled);
+        let Some(state) = reply.state.as_ref().filter(is_final) else { return };
+        let Some(job) = user::parse_job_id(&state.id) else { return };
+        let owner = self.owner(self.shard_of_job(JobId(job)));
+        let source =
+            if owner.is_some_and(|owner| owner.node == self.me) { "owner" } else { "store" };
+        let epoch = owner.map_or(0, |owner| owner.epoch.0);
+        self.effects.log(LogLevel::Debug, "final_answer", || {
+            format!("{} status={:?} epoch={epoch} source={source}", state.id, state.status)
+        });
+    }
+
     /// Answers with a job's state and this HTTP status.
     pub fn reply_state(&mut self, req: RequestId, status: u16, state: JobState) {
         self.reply(req, UserReply { status, ..UserReply::found(state) });
--- a/crates/core/src/coordinator/load.rs
+++ b/crates/core/src/coordinator/load.rs
@@ -126,7 +126,16 @@
         }
         ctx.needs_round = true;
         let (shard, jobs) = (self.shard.0, self.jobs.len());
-        ctx.effects.log(LogLevel::Info, "shard_loaded", || format!("shard={shard} jobs={jobs}"));
+        let (epoch, revision) = (self.epoch.0, self.jobs_loaded_revision);
+        let (placed, cancelled) = (
+            self.jobs.values().map(|job| job.placed.len()).sum::<u32>(),
+            self.jobs.values().filter(|job| job.cancelled).count(),
+        );
+        ctx.effects.log(LogLevel::Info, "shard_loaded", || {
+            format!(
+                "shard={shard} jobs={jobs} epoch={epoch} revision={revision} placed_tasks={placed} cancelled={cancelled}"
+            )
+        });
     }
 
     /// Adds a job whose record was read or written. Does nothing if the job is already known.
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -238,7 +238,7 @@
 }
 
 /// Severity of a log line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LogLevel {
     /// A fault that an operator should look into.
     Error = 0,
@@ -316,12 +316,14 @@
     pub list: Vec<Effect>,
     /// Number of times that a machine was evaluated for a job.
     pub machines_evaluated: u64,
+    /// Log lines above this level are left out, so that they cost nothing.
+    pub max_log_level: LogLevel,
 }
 
 impl Effects {
     /// Returns an empty collection for an input that is handled at `now`.
     pub fn new(now: Timestamp) -> Effects {
-        Effects { now, list: Vec::new(), machines_evaluated: 0 }
+        Effects { now, list: Vec::new(), machines_evaluated: 0, max_log_level: LogLevel::Info }
     }
 
     /// Appends an effect.
@@ -329,8 +331,10 @@
         self.list.push(effect);
     }
 
-    /// Appends a log line.
+    /// Appends a log line, unless lines of its level are left out.
     pub fn log(&mut self, level: LogLevel, event: &'static str, details: impl FnOnce() -> String) {
-        self.push(Effect::Log { level, event, details: details() });
+        if level <= self.max_log_level {
+            self.push(Effect::Log { level, event, details: details() });
+        }
     }
 }
--- a/crates/core/src/machine/attempt.rs
+++ b/crates/core/src/machine/attempt.rs
@@ -3,7 +3,7 @@
 use crate::ids::{Attempt, Epoch, JobId, Shard, Timestamp};
 use crate::names::Shape;
 use leaddeal_wire::mesh::{AttemptRef, TaskPhase};
-use leaddeal_wire::worker::TaskId;
+use leaddeal_wire::worker::{Command, TaskId};
 
 /// Identifies an attempt. Ordered by job, then task, then attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,6 +26,12 @@
         }
     }
 
+    /// Returns the key of the attempt that a command is for.
+    pub(crate) fn of_command(command: &Command) -> AttemptKey {
+        let TaskId { job, task } = command.task;
+        AttemptKey { job: JobId(job), task, attempt: Attempt(command.attempt) }
+    }
+
     /// Returns the identifier of the task on the wire to workers.
     pub(crate) fn task_id(&self) -> TaskId {
         TaskId { job: self.job.0, task: self.task }
--- a/crates/core/src/machine/heartbeat.rs
+++ b/crates/core/src/machine/heartbeat.rs
@@ -55,12 +55,15 @@
         if !self.is_new(heartbeat) {
             return false;
         }
+        let obeyed_before = self.token_confirmed && heartbeat.incarnation == self.incarnation;
         if heartbeat.incarnation > self.incarnation {
             self.begin_incarnation(heartbeat.incarnation, now);
         }
         self.apply_header(heartbeat, now);
         self.apply_token(heartbeat.token, epoch, now);
-        self.apply_task_reports(heartbeat, now);
+        let unknown_before = self.apply_task_reports(heartbeat, now);
+        // What this owner has placed is known before, and commands of previous owners are refused.
+        self.unexpected_attempts = if obeyed_before { unknown_before } else { Vec::new() };
         self.apply_missing_tasks(heartbeat.incarnation, kind);
         if self.tasks.values().any(|task| !task.is_over()) {
             self.last_busy_at = now;
@@ -132,19 +135,35 @@
         }
     }
 
-    fn apply_task_reports(&mut self, heartbeat: &WorkerHeartbeat, now: Timestamp) {
+    /// Applies the task states of a heartbeat. Returns the attempts that were not known.
+    fn apply_task_reports(
+        &mut self,
+        heartbeat: &WorkerHeartbeat,
+        now: Timestamp,
+    ) -> Vec<AttemptKey> {
         for task in self.tasks.values_mut() {
             task.reported = false;
         }
+        let mut unknown = Vec::new();
         for report in &heartbeat.tasks {
-            self.apply_task_report(report, heartbeat.incarnation, now);
+            let Some(id) = &report.task else { continue };
+            let attempt = Attempt(report.attempt);
+            let key = AttemptKey { job: JobId(id.job), task: id.task, attempt };
+            if !self.tasks.contains_key(&key) {
+                unknown.push(key);
+            }
+            self.apply_task_report(key, report, heartbeat.incarnation, now);
         }
+        unknown
     }
 
-    fn apply_task_report(&mut self, report: &TaskReport, incarnation: u64, now: Timestamp) {
-        let Some(id) = &report.task else { return };
-        let attempt = Attempt(report.attempt);
-        let key = AttemptKey { job: JobId(id.job), task: id.task, attempt };
+    fn apply_task_report(
+        &mut self,
+        key: AttemptKey,
+        report: &TaskReport,
+        incarnation: u64,
+        now: Timestamp,
+    ) {
         let unknown = || TaskOnMachine::new(None, TaskPhase::Decided, incarnation);
         let task = self.tasks.entry(key).or_insert_with(unknown);
         // Our command started the attempt, which proves that the worker receives what we send.
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -114,6 +114,8 @@
     pub next_check_at: Timestamp,
     load: Load,
     removed_attempts: RemovedAttempts,
+    /// Attempts in the newest heartbeat that were not known here although the worker had confirmed this owner's token.
+    unexpected_attempts: Vec<AttemptKey>,
 }
 
 impl Machine {
@@ -149,6 +151,7 @@
             next_check_at: now,
             load: Load::default(),
             removed_attempts: RemovedAttempts::default(),
+            unexpected_attempts: Vec::new(),
         }
     }
 
@@ -182,6 +185,11 @@
         self.update_load();
     }
 
+    /// Takes the attempts that a heartbeat contained although the worker obeys this owner, who did not know them.
+    pub fn take_unexpected_attempts(&mut self) -> Vec<AttemptKey> {
+        std::mem::take(&mut self.unexpected_attempts)
+    }
+
     /// Clears the recorded failures, because a task ran well here after them.
     pub fn clear_failures(&mut self) {
         self.recent_failures.clear();
--- a/crates/core/src/machine/token.rs
+++ b/crates/core/src/machine/token.rs
@@ -34,10 +34,15 @@
 
     /// Returns whether starts may be sent directly. A bound on the ended attempts that the worker has to report.
     pub(super) fn may_start_directly(&self) -> bool {
+        self.attempts_awaiting_token() < MAX_RETAINED_ATTEMPTS
+    }
+
+    /// Returns the number of ended attempts that the worker reports and may forget only under a newer token.
+    pub fn attempts_awaiting_token(&self) -> usize {
         let is_retained = |task: &&TaskOnMachine| {
             task.is_over() && task.reported && !task.is_start_fenced(self.token)
         };
-        self.tasks.values().filter(is_retained).count() < MAX_RETAINED_ATTEMPTS
+        self.tasks.values().filter(is_retained).count()
     }
 }
 
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -5,7 +5,7 @@
 //! and the shared state can be borrowed at the same time.
 use crate::coordinator::Coordinator;
 use crate::ids::{Epoch, Shard, Timestamp};
-use crate::io::{Effects, RequestId};
+use crate::io::{Effects, LogLevel, RequestId};
 use crate::participant::Participant;
 use crate::quota::QuotaManager;
 use leaddeal_wire::settings::Settings;
@@ -96,6 +96,8 @@
     heartbeats_refused: bool,
     /// Whether a coordinator may have work for a decision round.
     needs_round: bool,
+    /// Log lines above this level are left out.
+    max_log_level: LogLevel,
 }
 
 impl Node {
@@ -119,9 +121,15 @@
             store_answered_at: now,
             heartbeats_refused: false,
             needs_round: false,
+            max_log_level: LogLevel::Info,
         }
     }
 
+    /// Sets up to which level the node writes log lines; [`LogLevel::Info`] unless it is called.
+    pub fn set_max_log_level(&mut self, level: LogLevel) {
+        self.max_log_level = level;
+    }
+
     /// Whether this node can process users' requests.
     fn is_ready(&self, now: Timestamp) -> bool {
         let store_available = now < self.store_answered_at + STORE_UNAVAILABLE_AFTER_MS;
--- a/crates/core/src/node/ownership.rs
+++ b/crates/core/src/node/ownership.rs
@@ -118,7 +118,8 @@
             self.acquisitions[shard.0 as usize].relinquished_epoch = active.epoch;
             active.coordinator.abandon(&mut self.shared.context(effects));
             effects.log(LogLevel::Info, "shard_lost", || {
-                format!("shard={} epoch={}", shard.0, active.epoch.0)
+                let token = active.participant.newest_token();
+                format!("shard={} epoch={} token={token}", shard.0, active.epoch.0)
             });
             if shard == PROVISIONER_SHARD {
                 self.provisioner = None;
--- a/crates/core/src/node/statistics.rs
+++ b/crates/core/src/node/statistics.rs
@@ -67,12 +67,14 @@
             let coordinator = active.coordinator.statistics(context.now);
             let participant = active.participant.statistics(&context);
             let starts = active.coordinator.service_statistics(context.now);
+            let commands = active.participant.command_statistics();
             let obstacles = active.participant.obstacle_statistics();
             let waiting = active.coordinator.wait_statistics(&context);
             let quotas = active.coordinator.quota_statistics(&context);
             effects.log(LogLevel::Info, "service_levels", || starts);
             effects.log(LogLevel::Info, "coordinator", || coordinator);
             effects.log(LogLevel::Info, "participant", || participant);
+            effects.log(LogLevel::Info, "commands", || commands);
             let optional =
                 [("quotas", quotas), ("waiting_jobs", waiting), ("offer_obstacles", obstacles)];
             for (event, statistics) in optional {
--- a/crates/core/src/node/step.rs
+++ b/crates/core/src/node/step.rs
@@ -10,7 +10,7 @@
     pub fn step(&mut self, now: Timestamp, wall_clock_ms: u64, input: Input) -> Vec<Effect> {
         self.shared.wall_clock_ms = wall_clock_ms;
         self.shared.budget.refill(now);
-        let mut effects = Effects::new(now);
+        let mut effects = Effects { max_log_level: self.max_log_level, ..Effects::new(now) };
         self.route(&mut effects, input);
         self.deliver_messages(&mut effects);
         self.statistics.machines_evaluated += effects.machines_evaluated;
--- a/crates/core/src/node/workers.rs
+++ b/crates/core/src/node/workers.rs
@@ -144,14 +144,7 @@
     ) {
         let shard = shard_of_machine(machine, self.shared.shard_count());
         let Some(active) = &mut self.owned[shard.0 as usize] else { return };
-        let (report, unknown) = match outcome {
-            CommandOutcome::Executed(report) | CommandOutcome::Refused(report) => {
-                (Some(&**report), false)
-            }
-            CommandOutcome::NotSent => (None, false),
-            CommandOutcome::Unknown => (None, true),
-        };
         let mut context = self.shared.context(effects);
-        active.participant.handle_batch_outcome(&mut context, machine, batch, report, unknown);
+        active.participant.handle_batch_outcome(&mut context, machine, batch, outcome);
     }
 }
--- a/crates/core/src/participant/heartbeats.rs
+++ b/crates/core/src/participant/heartbeats.rs
@@ -1,9 +1,10 @@
 //! Heartbeats of workers: grants leases, records the states of tasks, and suspects machines on which
 //! tasks fail.
+use super::command_log::{CommandPath, SentUnder};
 use super::{Participant, FAILURE_EVIDENCE_MS, MAX_COMMANDS};
 use crate::context::Context;
 use crate::ids::{JobId, MachineIdx, Timestamp};
-use crate::io::LogLevel;
+use crate::io::{CommandOutcome, LogLevel};
 use crate::machine::{
     AttemptKey, BatchOutcome, CachedImage, HeartbeatKind, Machine, OwnerLease, StopRequest,
     TokenDemand,
@@ -140,45 +141,80 @@
         if token_demand == TokenDemand::Unmet {
             self.ownership_proof.want();
         }
+        self.command_counts.heartbeats += 1;
+        self.record_commands(ctx, idx, &commands, CommandPath::Response);
         Some(HeartbeatResponse { token, commands })
     }
 
-    /// Handles the outcome of a command batch. `response` is the worker's heartbeat in response; it is
-    /// `None` if the batch was not sent, or, with `may_be_executed`, if it may have been executed.
+    /// Handles the outcome of a command batch.
     pub fn handle_batch_outcome(
         &mut self,
         ctx: &mut Context,
         machine: &str,
         batch: u64,
-        response: Option<&WorkerHeartbeat>,
-        may_be_executed: bool,
+        outcome: &CommandOutcome,
     ) {
-        let Some(idx) = ctx.names.find_machine(machine) else {
-            return;
-        };
-        let Some(machine) = self.machines.get_mut(&idx) else {
-            return;
-        };
-        match response {
-            Some(heartbeat) => {
-                // The effect of the commands shows in this heartbeat and in all newer ones.
-                let known = (machine.incarnation, machine.seq);
-                if (heartbeat.incarnation, heartbeat.seq) > known {
-                    self.apply_heartbeat(ctx, idx, heartbeat, HeartbeatKind::CommandResponse);
-                }
-                let machine = self.machine_or_insert(idx);
-                machine.end_direct_batch(batch, BatchOutcome::Known);
-                machine.reachability.record_proof();
+        let Some(idx) = ctx.names.find_machine(machine) else { return };
+        let Some(machine) = self.machines.get(&idx) else { return };
+        let sent = SentUnder { token: machine.token, incarnation: machine.incarnation };
+        match outcome {
+            CommandOutcome::Executed(heartbeat) => {
+                self.handle_answered_batch(ctx, idx, batch, heartbeat);
+            }
+            CommandOutcome::Refused(heartbeat) => {
+                self.record_refusal(ctx, sent, heartbeat);
+                self.handle_answered_batch(ctx, idx, batch, heartbeat);
+                self.delay_refused_commands(idx, heartbeat.token, ctx.now);
+            }
+            CommandOutcome::NotSent => {
+                self.handle_unanswered_batch(idx, batch, BatchOutcome::Known, ctx.now);
             }
-            None => {
-                let end = if may_be_executed { BatchOutcome::Unknown } else { BatchOutcome::Known };
-                machine.end_direct_batch(batch, end);
-                machine.next_direct_at = ctx.now + BATCH_RETRY_DELAY_MS;
+            CommandOutcome::Unknown => {
+                self.command_counts.batches_unanswered += 1;
+                self.handle_unanswered_batch(idx, batch, BatchOutcome::Unknown, ctx.now);
             }
         }
         self.changed_machines.insert(idx);
     }
 
+    fn handle_answered_batch(
+        &mut self,
+        ctx: &mut Context,
+        idx: MachineIdx,
+        batch: u64,
+        heartbeat: &WorkerHeartbeat,
+    ) {
+        let machine = self.machine_or_insert(idx);
+        // The effect of the commands shows in this heartbeat and in all newer ones.
+        let known = (machine.incarnation, machine.seq);
+        if (heartbeat.incarnation, heartbeat.seq) > known {
+            self.apply_heartbeat(ctx, idx, heartbeat, HeartbeatKind::CommandResponse);
+        }
+        let machine = self.machine_or_insert(idx);
+        machine.end_direct_batch(batch, BatchOutcome::Known);
+        machine.reachability.record_proof();
+    }
+
+    fn handle_unanswered_batch(
+        &mut self,
+        idx: MachineIdx,
+        batch: u64,
+        outcome: BatchOutcome,
+        now: Timestamp,
+    ) {
+        let machine = self.machine_or_insert(idx);
+        machine.end_direct_batch(batch, outcome);
+        machine.next_direct_at = now + BATCH_RETRY_DELAY_MS;
+    }
+
+    /// Delays further commands to a worker that has seen a token which is not this owner's: it would refuse them, again
+    /// and again. Other refused commands are sent again at once.
+    fn delay_refused_commands(&mut self, idx: MachineIdx, worker_token: u64, now: Timestamp) {
+        if worker_token > self.newest_token() {
+            self.machine_or_insert(idx).next_direct_at = now + BATCH_RETRY_DELAY_MS;
+        }
+    }
+
     fn apply_heartbeat(
         &mut self,
         ctx: &mut Context,
@@ -190,16 +226,18 @@
         let machine = self.machine_or_insert(idx);
         let ended = machine.tasks.iter().filter(|(_, task)| task.is_over());
         let ended_before: Vec<AttemptKey> = ended.map(|(key, _)| *key).collect();
-        let was_confirmed = machine.token_confirmed;
+        let (was_confirmed, previous_at) = (machine.token_confirmed, machine.last_heartbeat_at);
         if !machine.apply_heartbeat(heartbeat, epoch, kind, now) {
             return;
         }
+        let unexpected = machine.take_unexpected_attempts();
         machine.machine_type = ctx.names.type_idx(&heartbeat.type_name);
         machine.zone = ctx.names.zone(&heartbeat.zone);
         let observed = Observations::of(machine, &ended_before, now);
         if observed.has_ended_attempt || (!was_confirmed && machine.token_confirmed) {
             self.capacity_notices.note_freed();
         }
+        self.record_unexpected_attempts(ctx, idx, &unexpected, previous_at);
         self.apply_observations(ctx, idx, &observed);
         self.attribute_failures(ctx, idx, &observed);
         self.stop_terminal_jobs(idx, ctx.horizons, now);
--- a/crates/core/src/participant/mod.rs
+++ b/crates/core/src/participant/mod.rs
@@ -16,7 +16,7 @@
 //! - `capacity_notices`: notices of freed capacity for coordinators that are short of it;
 //! - `inventory`, `release`: the machine list sent to the provisioner, and its drain and release
 //!   requests;
-//! - `statistics`, `offer_obstacles`: counts for the operators' log.
+//! - `statistics`, `offer_obstacles`, `command_log`: the operators' log.
 use crate::context::{Context, Operation};
 use crate::guards::{is_enforced, Guard};
 use crate::ids::{Epoch, JobId, MachineIdx, NegotiationId, Shard, Timestamp, PROVISIONER_SHARD};
@@ -30,6 +30,7 @@
 
 mod capacity_index;
 mod capacity_notices;
+mod command_log;
 mod eligibility;
 mod failure_attribution;
 mod free_resources;
@@ -56,6 +57,7 @@
 
 use capacity_index::FreeCapacityIndex;
 use capacity_notices::CapacityNotices;
+use command_log::CommandCounts;
 use failure_attribution::FailureAttribution;
 use gang_queue::GangQueue;
 use gpu_demand::GpuDemand;
@@ -123,6 +125,7 @@
     deferred_machines: BTreeSet<MachineIdx>,
     /// Deferred events are not sent before this time.
     next_deferred_at: Timestamp,
+    command_counts: CommandCounts,
 }
 
 impl Participant {
@@ -166,6 +169,7 @@
             offer_obstacles: ObstacleCounts::default(),
             deferred_machines: BTreeSet::new(),
             next_deferred_at: now,
+            command_counts: CommandCounts::default(),
         }
     }
 
@@ -243,6 +247,11 @@
         self.ownership_proof.record(revision);
     }
 
+    /// Returns the newest fencing token that this participant may use.
+    pub fn newest_token(&self) -> u64 {
+        self.ownership_proof.newest_token()
+    }
+
     /// Notes that the transaction that only proves the ownership was answered, or will not be.
     pub fn end_ownership_call(&mut self) {
         self.ownership_proof.end_call();
@@ -254,6 +263,7 @@
         if !ctx.lease_valid || !self.ownership_proof.take_due(ctx.now) {
             return;
         }
+        self.command_counts.ownership_proofs += 1;
         let condition = Condition { key: keys::shard_key(self.shard), version: self.epoch.0 };
         let transaction = Transaction { conditions: vec![condition], changes: Vec::new() };
         let operation = Operation::ProveOwnership { shard: self.shard, epoch: self.epoch };
--- a/crates/core/src/participant/task_events.rs
+++ b/crates/core/src/participant/task_events.rs
@@ -1,4 +1,5 @@
 //! Events of attempts, sent to their coordinators, and command batches, sent to workers.
+use super::command_log::CommandPath;
 use super::{Participant, MAX_COMMANDS};
 use crate::context::Context;
 use crate::guards::{is_enforced, Guard};
@@ -190,6 +191,9 @@
         }
         machine.direct_batch = Some(batch);
         let incarnation = machine.incarnation;
+        self.command_counts.batches += 1;
+        self.record_commands(ctx, idx, &commands, CommandPath::Direct);
+        let Some(machine) = self.machines.get(&idx) else { return };
         let command_batch = CommandBatch { token: machine.token, incarnation, commands };
         ctx.send_commands(idx, machine.addr.clone(), batch, command_batch);
     }
--- a/crates/core/src/participant/tests.rs
+++ b/crates/core/src/participant/tests.rs
@@ -5,7 +5,7 @@
 use crate::context::{Config, PendingOperations};
 use crate::horizon::Horizons;
 use crate::ids::NodeIdx;
-use crate::io::{Effect, Effects};
+use crate::io::{CommandOutcome, Effect, Effects};
 use crate::jobs::Objectives;
 use crate::names::Names;
 use crate::shard::{Owner, ShardView};
@@ -72,7 +72,7 @@
         now: Timestamp,
         f: impl FnOnce(&mut Context),
     ) -> (Vec<ShardMessage>, Vec<&'static str>) {
-        let mut effects = Effects { now, list: Vec::new(), machines_evaluated: 0 };
+        let mut effects = Effects::new(now);
         let mut operations = PendingOperations::default();
         let (mut outbox, mut relayed_requests) = (VecDeque::new(), HashMap::new());
         f(&mut Context {
@@ -426,8 +426,8 @@
         response.map(|response| (response.token, response.commands.len()))
     };
     world.at(2000, |context| {
-        let answered = Some(&exited(2, EPOCH.0));
-        participant.handle_batch_outcome(context, "n-000001", (EPOCH.0 << 20) + 1, answered, false);
+        let answered = CommandOutcome::Executed(Box::new(exited(2, EPOCH.0)));
+        participant.handle_batch_outcome(context, "n-000001", (EPOCH.0 << 20) + 1, &answered);
         participant.handle(context, Shard(0), EPOCH, end_acknowledgement());
         assert_eq!(response(&mut participant, context, 3, EPOCH.0), Some((EPOCH.0, 0)));
         participant.tick(context);
@@ -461,8 +461,7 @@
             context,
             "n-000001",
             (EPOCH.0 << 20) + 1,
-            Some(&exited),
-            false,
+            &CommandOutcome::Executed(Box::new(exited)),
         );
         participant.handle(context, Shard(0), EPOCH, end_acknowledgement());
         participant.handle_heartbeat(context, &heartbeat("n-000001", 3), None);
@@ -475,6 +474,40 @@
     });
 }
 
+/// A worker that obeys this owner reports an attempt that nobody has placed, as after a late copy of a start.
+#[test]
+fn logs_unexpected_attempts_and_refused_batches_up_to_a_bound() {
+    let mut world = World::new();
+    let mut participant = Participant::new(Shard(0), EPOCH, 1, 1, PREVIOUS_OWNER_GRACE_MS);
+    let report = |seq, tasks: std::ops::Range<u32>| {
+        let of = |task| TaskReport { task: Some(TaskId { job: 7, task }), ..exited_task() };
+        WorkerHeartbeat { tasks: tasks.map(of).collect(), ..heartbeat("n-000001", seq) }
+    };
+    let count = |logged: &[&str], event| logged.iter().filter(|name| **name == event).count();
+    let (_, logged) = world.at(1000, |context| {
+        participant.handle_heartbeat(context, &report(1, 0..3), None);
+    });
+    assert_eq!(count(&logged, "unexpected_attempt"), 0, "an earlier owner may have started them");
+    let (_, logged) = world.at(2000, |context| {
+        participant.handle_heartbeat(context, &report(2, 0..5), None);
+    });
+    assert_eq!(count(&logged, "unexpected_attempt"), 2);
+    let (_, logged) = world.at(3000, |context| {
+        participant.handle_heartbeat(context, &report(3, 0..500), None);
+        for batch in 0..50 {
+            let refused = CommandOutcome::Refused(Box::new(report(3, 0..0)));
+            participant.handle_batch_outcome(context, "n-000001", batch, &refused);
+        }
+    });
+    assert_eq!(count(&logged, "unexpected_attempt"), 18);
+    assert_eq!(count(&logged, "commands_refused"), 20);
+    let counts = participant.command_statistics();
+    assert!(
+        counts.contains(" refused=50 ") && counts.contains(" unexpected_attempts=497 "),
+        "{counts}"
+    );
+}
+
 /// A machine that was removed and comes back may have seen any token that its owner has used.
 #[test]
 fn machine_that_comes_back_is_not_sent_an_older_token() {
--- a/crates/leaddeal/src/driver/startup.rs
+++ b/crates/leaddeal/src/driver/startup.rs
@@ -11,6 +11,7 @@
 use crate::event::Event;
 use crate::gateway::{self, Gateway};
 use crate::link;
+use leaddeal_core::io::LogLevel;
 use leaddeal_core::Node;
 use leaddeal_wire::mesh::NodeMessage;
 use leaddeal_wire::settings::Settings;
@@ -66,7 +67,10 @@
         peers,
         pending_requests: HashMap::new(),
     };
-    let core = Node::new(&settings, boot, STEADY_CLOCK_START_MS);
+    let mut core = Node::new(&settings, boot, STEADY_CLOCK_START_MS);
+    if tracing::enabled!(tracing::Level::DEBUG) {
+        core.set_max_log_level(LogLevel::Debug);
+    }
     tracing::info!(node = %settings.node, "started");
     let event_loop = EventLoop { core, clock, events: event_queue, effects, healthy };
     tokio::select! {
--- a/crates/testkit/src/sim/controllers.rs
+++ b/crates/testkit/src/sim/controllers.rs
@@ -3,7 +3,7 @@
 use super::setup::settings;
 use super::{InjectedDefect, Sim};
 use crate::broken_rule::BrokenRule;
-use leaddeal_core::io::Input;
+use leaddeal_core::io::{Input, LogLevel};
 use leaddeal_core::Node;
 use rand::Rng;
 
@@ -90,7 +90,11 @@
         controller.started_at = self.now;
         controller.boot += 1;
         let wall_ms = self.draw_wall_clock_ms();
-        self.controllers[node].core = Some(Node::new(&settings, wall_ms, 1));
+        let mut core = Node::new(&settings, wall_ms, 1);
+        if self.trace {
+            core.set_max_log_level(LogLevel::Debug);
+        }
+        self.controllers[node].core = Some(core);
         self.schedule(1, Event::Tick(self.process(node)));
     }
 
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -86,7 +86,7 @@
     #[serde(rename = "when")]
     pub conditions: Vec<Condition>,
     /// The changes, which are made in one revision. Without any, the conditions are only compared.
-    #[serde(rename = "then", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "then", default)]
     pub changes: Vec<Change>,
 }
 
