Log heartbeats with a token that their owner never used; follow the worker's

A worker may report a token that nobody sent, or a newer owner's: it is not answered, as before, and the first 20 a minute are logged (`foreign_token`). A token up to the newest one that this owner may use can only be its own, so commands never go out under a smaller one than the worker reports; they would be refused.

--- a/crates/core/src/machine/token.rs
+++ b/crates/core/src/machine/token.rs
@@ -32,6 +32,14 @@
         }
     }
 
+    /// Follows a token that the worker reports, if it is this owner's: up to `newest`, no other owner can have sent a
+    /// larger one than this owner has. Commands under a smaller one would be refused.
+    pub fn observe_token(&mut self, reported: u64, newest: u64) {
+        if reported <= newest {
+            self.token = self.token.max(reported);
+        }
+    }
+
     /// Returns whether starts may be sent directly. A bound on the ended attempts that the worker has to report.
     pub(super) fn may_start_directly(&self) -> bool {
         self.attempts_awaiting_token() < MAX_RETAINED_ATTEMPTS
--- a/crates/core/src/participant/command_log.rs
+++ b/crates/core/src/participant/command_log.rs
@@ -7,7 +7,7 @@
 use crate::machine::{AttemptKey, Machine};
 use leaddeal_wire::worker::{Command, CommandKind, WorkerHeartbeat};
 
-/// Most lines about refused batches, and about unexpected attempts, from one line of counts to the next. The others are
+/// Most lines about refused batches, about foreign tokens and about unexpected attempts, from one line of counts to the next. The others are
 /// only counted.
 const MAX_LINES_OF_KIND: u64 = 20;
 
@@ -47,6 +47,8 @@
     pub(super) batches_refused: u64,
     /// Command batches without an answer.
     pub(super) batches_unanswered: u64,
+    /// Heartbeats with a token that this owner has not used.
+    foreign_tokens: u64,
     /// Transactions that only prove the ownership.
     pub(super) ownership_proofs: u64,
     starts: u64,
@@ -134,6 +136,20 @@
         });
     }
 
+    /// Counts and logs a heartbeat with a larger token than this owner has: there is a newer owner, or the worker reports
+    /// a token that nobody sent. It is not answered.
+    pub(super) fn record_foreign_token(&mut self, ctx: &mut Context, heartbeat: &WorkerHeartbeat) {
+        self.command_counts.foreign_tokens += 1;
+        if self.command_counts.foreign_tokens > MAX_LINES_OF_KIND {
+            return;
+        }
+        let newest_token = self.newest_token();
+        ctx.effects.log(LogLevel::Info, "foreign_token", || {
+            let WorkerHeartbeat { machine, token, .. } = heartbeat;
+            format!("machine={machine} token={newest_token} worker_token={token}")
+        });
+    }
+
     /// Counts and logs attempts that a worker reports although it obeys this owner, who has not placed them or has had
     /// them forgotten. The previous heartbeat arrived at `previous_heartbeat_at`.
     pub(super) fn record_unexpected_attempts(
@@ -171,7 +187,7 @@
         let awaiting = self.machines.values().map(Machine::attempts_awaiting_token).sum::<usize>();
         format!(
             "shard={} epoch={} token={} heartbeats={} batches={} refused={} unanswered={} starts={} stops={} \
-             forgets={} unexpected_attempts={} ownership_proofs={} attempts_awaiting_token={awaiting}",
+             forgets={} unexpected_attempts={} foreign_tokens={} ownership_proofs={} attempts_awaiting_token={awaiting}",
             self.shard.0,
             self.epoch.0,
             self.newest_token(),
@@ -183,6 +199,7 @@
             counts.stops,
             counts.forgets,
             counts.unexpected_attempts,
+            counts.foreign_tokens,
             counts.ownership_proofs,
         )
     }
--- a/crates/core/src/participant/heartbeats.rs
+++ b/crates/core/src/participant/heartbeats.rs
@@ -109,7 +109,8 @@
         heartbeat: &WorkerHeartbeat,
         via: HeartbeatPath,
     ) -> Option<HeartbeatResponse> {
-        if heartbeat.token > self.ownership_proof.newest_token() {
+        if heartbeat.token > self.newest_token() {
+            self.record_foreign_token(ctx, heartbeat);
             return None;
         }
         let idx = ctx.names.machine(&heartbeat.machine);
@@ -119,7 +120,7 @@
         }
         machine.reachability.record_heartbeat(via, ctx.config.heartbeat_due_ms, ctx.now);
         self.apply_heartbeat(ctx, idx, heartbeat, HeartbeatKind::Periodic);
-        let newest_token = self.ownership_proof.newest_token();
+        let newest_token = self.newest_token();
         let machine = self.machine_or_insert(idx);
         // The worker's lease has expired and its tasks were declared gone. A late heartbeat of that
         // incarnation must not renew the lease.
@@ -222,8 +223,9 @@
         heartbeat: &WorkerHeartbeat,
         kind: HeartbeatKind,
     ) {
-        let (now, epoch) = (ctx.now, self.epoch);
+        let (now, epoch, newest_token) = (ctx.now, self.epoch, self.newest_token());
         let machine = self.machine_or_insert(idx);
+        machine.observe_token(heartbeat.token, newest_token);
         let ended = machine.tasks.iter().filter(|(_, task)| task.is_over());
         let ended_before: Vec<AttemptKey> = ended.map(|(key, _)| *key).collect();
         let (was_confirmed, previous_at) = (machine.token_confirmed, machine.last_heartbeat_at);
--- a/crates/core/src/participant/tests.rs
+++ b/crates/core/src/participant/tests.rs
@@ -439,6 +439,7 @@
         participant.record_ownership(EPOCH.0 + 7);
         assert_eq!(response(&mut participant, context, 4, EPOCH.0), Some((EPOCH.0 + 7, 1)));
         assert_eq!(response(&mut participant, context, 5, EPOCH.0 + 8), None, "a newer owner's");
+        assert!(participant.command_statistics().contains(" foreign_tokens=1 "));
     });
 }
 
