Participant: command batches, and what heartbeats show, in modules of their own

heartbeats.rs held the outcomes of command batches and task_events.rs sent them; both now stand in command_batches.rs.

--- a/crates/core/src/participant/heartbeats.rs
+++ b/crates/core/src/participant/heartbeats.rs
@@ -1,88 +1,23 @@
 //! Heartbeats of workers: grants leases, records the states of tasks, and suspects machines on which
 //! tasks fail.
-use super::command_log::{CommandPath, SentUnder};
+use super::command_log::CommandPath;
+use super::observations::Observations;
 use super::{Participant, FAILURE_EVIDENCE_MS, MAX_COMMANDS};
 use crate::context::Context;
-use crate::ids::{JobId, MachineIdx, Timestamp};
-use crate::io::{CommandOutcome, LogLevel};
-use crate::machine::{
-    AttemptKey, BatchOutcome, CachedImage, HeartbeatKind, Machine, OwnerLease, StopRequest,
-    TokenDemand,
-};
-use crate::names::Shape;
+use crate::ids::{MachineIdx, Timestamp};
+use crate::io::LogLevel;
+use crate::machine::{AttemptKey, HeartbeatKind, Machine, OwnerLease, StopRequest, TokenDemand};
 use crate::reachability::HeartbeatPath;
 use leaddeal_wire::mesh::TaskPhase;
-use leaddeal_wire::worker::{ExitReason, HeartbeatResponse, TaskState, WorkerHeartbeat};
+use leaddeal_wire::worker::{HeartbeatResponse, TaskState, WorkerHeartbeat};
 
-/// A task of a service or with GPUs counts as a success of its job once it has run for this long, in ms.
-const SUCCESS_AFTER_MS: u64 = 30_000;
 /// Time in ms for which a machine is not offered after its worker refused a task for lack of free
 /// resources.
 const REFUSAL_QUARANTINE_MS: u64 = 2000;
-/// Time in ms for which no command batch is sent to a worker after one that it did not answer.
-const BATCH_RETRY_DELAY_MS: u64 = 2000;
 /// Time in seconds that a task on a machine with an interruption notice gets in addition to the time
 /// that it needs to save its progress.
 const INTERRUPTION_GRACE_S: f64 = 5.0;
 
-/// What a heartbeat shows about the tasks on a machine.
-#[derive(Debug, Default)]
-struct Observations {
-    /// Images of tasks that are waiting or running, or that completed since the previous heartbeat.
-    images: Vec<CachedImage>,
-    /// Jobs of which a task failed since the previous heartbeat.
-    failed: Vec<JobId>,
-    /// Jobs of which a task completed since the previous heartbeat, or has run for
-    /// `SUCCESS_AFTER_MS`.
-    succeeded: Vec<JobId>,
-    /// Whether any attempt ended since the previous heartbeat.
-    has_ended_attempt: bool,
-    /// Whether the worker refused a task because the machine lacks the free resources.
-    lacked_resources: bool,
-}
-
-impl Observations {
-    /// Collects the observations from a machine to which the heartbeat was applied. `ended_before`
-    /// lists the attempts that were over before the heartbeat, in ascending order.
-    fn of(machine: &Machine, ended_before: &[AttemptKey], now: Timestamp) -> Observations {
-        let mut observed = Observations::default();
-        for (key, task) in &machine.tasks {
-            if let (Some(shape), TaskPhase::On(TaskState::Running | TaskState::Waiting)) =
-                (&task.shape, task.phase)
-            {
-                observed.images.push(image_of(shape));
-                let has_run_long =
-                    task.running_since.is_some_and(|at| now >= at + SUCCESS_AFTER_MS);
-                if shape.is_long_running() && has_run_long {
-                    observed.succeeded.push(key.job);
-                }
-            }
-            if ended_before.binary_search(key).is_err() {
-                observed.has_ended_attempt |= task.is_over();
-                observed.record_exit(key.job, task.shape.as_ref(), task.phase);
-            }
-        }
-        observed.images.dedup_by_key(|cached| cached.image);
-        observed
-    }
-
-    fn record_exit(&mut self, job: JobId, shape: Option<&Shape>, phase: TaskPhase) {
-        match phase {
-            TaskPhase::Exited(ExitReason::Error | ExitReason::Other, _) => self.failed.push(job),
-            TaskPhase::Exited(ExitReason::Done, _) => {
-                self.succeeded.push(job);
-                self.images.extend(shape.map(image_of));
-            }
-            TaskPhase::Exited(ExitReason::InsufficientResources, _) => self.lacked_resources = true,
-            _ => {}
-        }
-    }
-}
-
-fn image_of(shape: &Shape) -> CachedImage {
-    CachedImage { image: shape.image, size_gb: shape.wire.image_gb }
-}
-
 /// Stops the running tasks that can save their progress, so that they can restart elsewhere before the
 /// cloud interrupts the machine. The other tasks run on: they may still complete in time.
 fn save_before_interruption(machine: &mut Machine, now: Timestamp) {
@@ -147,76 +82,7 @@
         Some(HeartbeatResponse { token, commands })
     }
 
-    /// Handles the outcome of a command batch.
-    pub fn handle_batch_outcome(
-        &mut self,
-        ctx: &mut Context,
-        machine: &str,
-        batch: u64,
-        outcome: &CommandOutcome,
-    ) {
-        let Some(idx) = ctx.names.find_machine(machine) else { return };
-        let Some(machine) = self.machines.get(&idx) else { return };
-        let sent = SentUnder { token: machine.token, incarnation: machine.incarnation };
-        match outcome {
-            CommandOutcome::Executed(heartbeat) => {
-                self.handle_answered_batch(ctx, idx, batch, heartbeat);
-            }
-            CommandOutcome::Refused(heartbeat) => {
-                self.record_refusal(ctx, sent, heartbeat);
-                self.handle_answered_batch(ctx, idx, batch, heartbeat);
-                self.delay_refused_commands(idx, heartbeat.token, ctx.now);
-            }
-            CommandOutcome::NotSent => {
-                self.handle_unanswered_batch(idx, batch, BatchOutcome::Known, ctx.now);
-            }
-            CommandOutcome::Unknown => {
-                self.command_counts.batches_unanswered += 1;
-                self.handle_unanswered_batch(idx, batch, BatchOutcome::Unknown, ctx.now);
-            }
-        }
-        self.changed_machines.insert(idx);
-    }
-
-    fn handle_answered_batch(
-        &mut self,
-        ctx: &mut Context,
-        idx: MachineIdx,
-        batch: u64,
-        heartbeat: &WorkerHeartbeat,
-    ) {
-        let machine = self.machine_or_insert(idx);
-        // The effect of the commands shows in this heartbeat and in all newer ones.
-        let known = (machine.incarnation, machine.seq);
-        if (heartbeat.incarnation, heartbeat.seq) > known {
-            self.apply_heartbeat(ctx, idx, heartbeat, HeartbeatKind::CommandResponse);
-        }
-        let machine = self.machine_or_insert(idx);
-        machine.end_direct_batch(batch, BatchOutcome::Known);
-        machine.reachability.record_proof();
-    }
-
-    fn handle_unanswered_batch(
-        &mut self,
-        idx: MachineIdx,
-        batch: u64,
-        outcome: BatchOutcome,
-        now: Timestamp,
-    ) {
-        let machine = self.machine_or_insert(idx);
-        machine.end_direct_batch(batch, outcome);
-        machine.next_direct_at = now + BATCH_RETRY_DELAY_MS;
-    }
-
-    /// Delays further commands to a worker that has seen a token which is not this owner's: it would refuse them, again
-    /// and again. Other refused commands are sent again at once.
-    fn delay_refused_commands(&mut self, idx: MachineIdx, worker_token: u64, now: Timestamp) {
-        if worker_token > self.newest_token() {
-            self.machine_or_insert(idx).next_direct_at = now + BATCH_RETRY_DELAY_MS;
-        }
-    }
-
-    fn apply_heartbeat(
+    pub(super) fn apply_heartbeat(
         &mut self,
         ctx: &mut Context,
         idx: MachineIdx,
--- a/crates/core/src/participant/mod.rs
+++ b/crates/core/src/participant/mod.rs
@@ -3,7 +3,8 @@
 //! reports to coordinators which attempts can no longer be running.
 //!
 //! - `machine_registry`: the known machines, the expiry of their leases and their index entries;
-//! - `heartbeats`: heartbeats of workers and outcomes of command batches;
+//! - `heartbeats`, `observations`: heartbeats of workers and what they show of tasks;
+//! - `command_batches`: commands sent directly to workers, and their outcomes;
 //! - `holds`, `reservations`: capacity set aside for open negotiations and for single jobs;
 //! - `gang_queue`, `gpu_demand`: waiting gangs, and GPU work that was requested recently;
 //! - `eligibility`, `free_resources`: which machines a job may use, and what is free on them;
@@ -12,7 +13,7 @@
 //! - `failure_attribution`: whether a failed task counts against its machine or its job;
 //! - `task_commands`: placements, stops and acknowledgements sent by coordinators;
 //! - `ownership_proof`: the fencing tokens that may be used for workers;
-//! - `task_events`: events for coordinators, command batches for workers;
+//! - `task_events`: events for coordinators;
 //! - `capacity_notices`: notices of freed capacity for coordinators that are short of it;
 //! - `inventory`, `release`: the machine list sent to the provisioner, and its drain and release
 //!   requests;
@@ -30,6 +31,7 @@
 
 mod capacity_index;
 mod capacity_notices;
+mod command_batches;
 mod command_log;
 mod eligibility;
 mod failure_attribution;
@@ -41,6 +43,7 @@
 mod inventory;
 mod machine_choice;
 mod machine_registry;
+mod observations;
 mod offer;
 mod offer_obstacles;
 mod ownership_proof;
--- a/crates/core/src/participant/task_events.rs
+++ b/crates/core/src/participant/task_events.rs
@@ -1,12 +1,10 @@
-//! Events of attempts, sent to their coordinators, and command batches, sent to workers.
-use super::command_log::CommandPath;
-use super::{Participant, MAX_COMMANDS};
+//! Events of attempts, sent to their coordinators.
+use super::Participant;
 use crate::context::Context;
-use crate::guards::{is_enforced, Guard};
 use crate::ids::{Epoch, MachineIdx, Shard, Timestamp};
-use crate::machine::{AttemptKey, Machine, TaskOnMachine};
+use crate::machine::{AttemptKey, TaskOnMachine};
 use leaddeal_wire::mesh::{ShardMessage, TaskEvent, TaskPhase};
-use leaddeal_wire::worker::{CommandBatch, ExitReason, TaskState};
+use leaddeal_wire::worker::{ExitReason, TaskState};
 use std::collections::BTreeMap;
 
 /// Time in ms after which a report is sent again unless the coordinator has acknowledged it: the end of an
@@ -88,19 +86,6 @@
     Notification::Due(shard, epoch)
 }
 
-/// Returns whether a command batch may be sent to the machine's worker now.
-fn can_send_commands(ctx: &Context, machine: &Machine) -> bool {
-    let is_silent = ctx.now >= machine.last_heartbeat_at + ctx.config.max_silence_ms;
-    (ctx.lease_valid || !is_enforced(Guard::StartNeedsValidLease))
-        && machine.direct_batch.is_none()
-        && !machine.released
-        && !machine.lease_expired
-        && machine.incarnation > 0
-        && ctx.now >= machine.next_direct_at
-        && !is_silent
-        && !machine.addr.is_empty()
-}
-
 impl Participant {
     /// Sends the events of changed machines to coordinators and pending commands to workers.
     pub fn flush(&mut self, ctx: &mut Context) {
@@ -177,24 +162,4 @@
             self.resend_queue.push_back((resend_at, idx));
         }
     }
-
-    fn send_commands(&mut self, ctx: &mut Context, idx: MachineIdx) {
-        let Some(machine) = self.machines.get_mut(&idx) else { return };
-        if !can_send_commands(ctx, machine) {
-            return;
-        }
-        self.last_batch += 1;
-        let batch = self.last_batch;
-        let commands = machine.direct_commands(batch, MAX_COMMANDS);
-        if commands.is_empty() {
-            return;
-        }
-        machine.direct_batch = Some(batch);
-        let incarnation = machine.incarnation;
-        self.command_counts.batches += 1;
-        self.record_commands(ctx, idx, &commands, CommandPath::Direct);
-        let Some(machine) = self.machines.get(&idx) else { return };
-        let command_batch = CommandBatch { token: machine.token, incarnation, commands };
-        ctx.send_commands(idx, machine.addr.clone(), batch, command_batch);
-    }
 }
