--- a/crates/testkit/src/broken_rule.rs
+++ b/crates/testkit/src/broken_rule.rs
@@ -40,6 +40,8 @@
     NameReused,
     /// A delayed duplicate of a transaction has no effect.
     TransactionRepeated,
+    /// A fencing token that is sent to a worker belongs to its sender.
+    TokenOfOtherOwner,
     /// Controllers send messages only to existing controllers.
     UnknownNode,
 }
@@ -70,6 +72,7 @@
             Rule::PartialGang => "half_gang",
             Rule::NameReused => "name_reused",
             Rule::TransactionRepeated => "written_again",
+            Rule::TokenOfOtherOwner => "foreign_token",
             Rule::UnknownNode => "unknown_node",
         }
     }
--- a/crates/testkit/src/sim/effects.rs
+++ b/crates/testkit/src/sim/effects.rs
@@ -67,6 +67,7 @@
             }
             Effect::Commands { machine, batch, commands: command_batch, .. } => {
                 let process = self.process(node);
+                self.check_token(process, &machine, command_batch.token)?;
                 let commands = command_batch;
                 let (answer_lost, is_copy) = (false, false);
                 let sent = SentCommands { process, machine, batch, commands, answer_lost, is_copy };
--- a/crates/testkit/src/sim/mod.rs
+++ b/crates/testkit/src/sim/mod.rs
@@ -18,6 +18,7 @@
 use delayed_heartbeats::DelayedHeartbeats;
 use event::{EventQueue, PendingRequest, RequestId};
 use fault_windows::ActiveWindows;
+use fencing::Acquisitions;
 use late_copies::CopyDraws;
 use leaddeal_wire::settings::Team;
 use leaddeal_wire::user::JobKind;
@@ -37,6 +38,7 @@
 mod event;
 mod fault_injection;
 mod fault_windows;
+mod fencing;
 mod jobs;
 mod late_copies;
 mod lost_messages;
@@ -81,6 +83,7 @@
     peer_partition_until: u64,
     windows: ActiveWindows,
     copy_draws: CopyDraws,
+    acquisitions: Acquisitions,
     delayed_heartbeats: DelayedHeartbeats,
     crashes_after_writes: Vec<CrashAfterWrite>,
     outages_after_writes: Vec<OutageAfterWrite>,
--- a/crates/testkit/src/sim/setup.rs
+++ b/crates/testkit/src/sim/setup.rs
@@ -5,8 +5,8 @@
 use super::query_bursts::QueryBursts;
 use super::service_check::ServiceCheck;
 use super::{
-    ActiveWindows, DelayedHeartbeats, InjectedDefect, Plan, Sim, GANG_STEP_MS, NODES, START_MS,
-    ZONES,
+    Acquisitions, ActiveWindows, DelayedHeartbeats, InjectedDefect, Plan, Sim, GANG_STEP_MS, NODES,
+    START_MS, ZONES,
 };
 use crate::fingerprint::Fingerprint;
 use crate::gangs::Gangs;
@@ -126,6 +126,7 @@
             peer_partition_until: 0,
             windows: ActiveWindows::default(),
             copy_draws: CopyDraws::new(plan.seed),
+            acquisitions: Acquisitions::default(),
             delayed_heartbeats: DelayedHeartbeats::default(),
             crashes_after_writes: Vec::new(),
             outages_after_writes: Vec::new(),
--- a/crates/testkit/src/sim/store.rs
+++ b/crates/testkit/src/sim/store.rs
@@ -65,8 +65,11 @@
     pub(super) fn execute_store_call(&mut self, sent: SentStoreCall) -> Result<(), BrokenRule> {
         let (process, op, call) = (sent.process, sent.op, &sent.call);
         let mut result = self.store_result(process.node, call);
-        if let (StoreCall::Transaction(transaction), StoreResult::Committed(_)) = (call, &result) {
+        if let (StoreCall::Transaction(transaction), StoreResult::Committed(revision)) =
+            (call, &result)
+        {
             self.note_terminal_states(transaction);
+            self.note_acquisitions(process, transaction, *revision);
         }
         // The answer is lost: the call was executed, but the controller does not learn it.
         if self.plan.random_faults && self.rng.random_range(0..LOST_ANSWER_ODDS) == 0
