Simulator: a traced run is the run that is to be traced

LEADDEAL_TRACE=1 lets the cores write debug lines since these are left out otherwise, and each line took a random draw for its latency, so that the trace showed another run: seed 2 of requests_as_last_task_ends had 12 starts after a cancellation, and none when traced. Debug lines now take no draw and are not in the fingerprint. Runs without a trace stay the same.

--- a/crates/testkit/src/fingerprint.rs
+++ b/crates/testkit/src/fingerprint.rs
@@ -2,8 +2,9 @@
 //! versions of the core behave the same in a run if their fingerprints of it are equal.
 //!
 //! Messages are hashed as the bytes or the JSON text that goes over the wire, so that renaming a type, field or log
-//! event in the source does not change the fingerprint. Of log lines only the level is hashed.
-use leaddeal_core::io::{CloudCall, Effect, StoreCall, WorkerReply};
+//! event in the source does not change the fingerprint. Of log lines only the level is hashed, and debug
+//! lines are left out, since only traced runs have them.
+use leaddeal_core::io::{CloudCall, Effect, LogLevel, StoreCall, WorkerReply};
 use serde::Serialize;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::Write;
@@ -21,6 +22,9 @@
 impl Fingerprint {
     /// Adds an output of the core of a node, made at the node's time `now` in milliseconds.
     pub fn add(&mut self, node: usize, now: u64, output: &Effect) {
+        if matches!(output, Effect::Log { level: LogLevel::Debug, .. }) {
+            return;
+        }
         self.outputs += 1;
         (node, now).hash(&mut self.hasher);
         match output {
--- a/crates/testkit/src/sim/controllers.rs
+++ b/crates/testkit/src/sim/controllers.rs
@@ -98,6 +98,14 @@
         self.schedule(1, Event::Tick(self.process(node)));
     }
 
+    /// Prints the events of the run to the standard error output from now on, with the cores' debug log lines.
+    pub fn trace_events(&mut self) {
+        self.trace = true;
+        for core in self.controllers.iter_mut().filter_map(|controller| controller.core.as_mut()) {
+            core.set_max_log_level(LogLevel::Debug);
+        }
+    }
+
     /// Returns the settings that a controller is started with; an injected defect may have changed them.
     fn node_settings(&self, node: usize) -> leaddeal_wire::settings::Settings {
         let mut settings = settings(node, &self.plan);
--- a/crates/testkit/src/sim/effects.rs
+++ b/crates/testkit/src/sim/effects.rs
@@ -5,7 +5,7 @@
 use super::workers::COMMAND_TIMEOUT_MS;
 use super::{InjectedDefect, Sim};
 use crate::broken_rule::{BrokenRule, Rule};
-use leaddeal_core::io::{CloudResult, Effect, Input, StoreCall, UserReply};
+use leaddeal_core::io::{CloudResult, Effect, Input, LogLevel, StoreCall, UserReply};
 use leaddeal_wire::mesh::{NodeMessage, ShardMessage};
 use rand::Rng;
 
@@ -45,6 +45,11 @@
     /// # Errors
     /// The rule that the effect breaks.
     pub(super) fn execute_effect(&mut self, node: usize, effect: Effect) -> Result<(), BrokenRule> {
+        // Debug lines are there only in a traced run, which must be the same run.
+        if let Effect::Log { level: LogLevel::Debug, event, details } = &effect {
+            self.note_log(node, event, details);
+            return Ok(());
+        }
         let latency_ms = self.draw_latency_ms();
         match effect {
             Effect::User { req, reply } => self.reply_to_user(node, req, &reply)?,
--- a/crates/testkit/tests/fingerprint.rs
+++ b/crates/testkit/tests/fingerprint.rs
@@ -16,3 +16,12 @@
 fn different_seeds_have_different_fingerprints() {
     assert_ne!(fingerprint(3), fingerprint(4));
 }
+
+/// Guards against a trace that shows another run than the one to be traced.
+#[test]
+fn traced_run_has_same_fingerprint() {
+    let mut sim = Sim::new(Plan { seconds: 40, ..Plan::new(3) });
+    sim.trace_events();
+    sim.run().expect("no rule is violated");
+    assert_eq!(sim.fingerprint.text(), fingerprint(3));
+}
