--- a/crates/core/src/participant/tests.rs
+++ b/crates/core/src/participant/tests.rs
@@ -405,8 +405,7 @@
     ShardMessage::Forget { what: vec![ended] }
 }
 
-/// A task ends whose start was sent directly: the worker forgets it only in a response under a newer token, which a
-/// write of the shard or, without one, a transaction without changes brings.
+/// Guards against forgets under the start's own token, and against waiting for one that no write brings.
 #[test]
 fn ended_attempt_is_forgotten_under_newly_proven_token() {
     let mut world = World::new();
