Look at each reported task once, and at tokens in one pass

Found on reading the change again: - a heartbeat looked up each reported task twice, once to see whether it was known; the insertion tells now; - the demand for a newer token took two passes over a machine's tasks at each heartbeat, one now; - the shard and owner of each final answer were found for a debug line that is mostly not written; - the simulator's copies of users' requests built the input that send_to_node builds: both call request_input.

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -440,6 +440,9 @@
     /// Logs an answer that calls a job done or cancelled, with the shard's epoch and whether this node answers as its
     /// owner or from the store.
     fn log_final_answer(&mut self, reply: &UserReply) {
+        if self.effects.max_log_level < LogLevel::Debug {
+            return;
+        }
         let is_final =
             |state: &&JobState| matches!(state.status, JobStatus::Done | JobStatus::Cancelled);
         let Some(state) = reply.state.as_ref().filter(is_final) else { return };
--- a/crates/core/src/machine/heartbeat.rs
+++ b/crates/core/src/machine/heartbeat.rs
@@ -149,35 +149,39 @@
             let Some(id) = &report.task else { continue };
             let attempt = Attempt(report.attempt);
             let key = AttemptKey { job: JobId(id.job), task: id.task, attempt };
-            if !self.tasks.contains_key(&key) {
+            if self.apply_task_report(key, report, heartbeat.incarnation, now) {
                 unknown.push(key);
             }
-            self.apply_task_report(key, report, heartbeat.incarnation, now);
         }
         unknown
     }
 
+    /// Applies the state of one task. Returns whether the attempt was not known.
     fn apply_task_report(
         &mut self,
         key: AttemptKey,
         report: &TaskReport,
         incarnation: u64,
         now: Timestamp,
-    ) {
-        let unknown = || TaskOnMachine::new(None, TaskPhase::Decided, incarnation);
-        let task = self.tasks.entry(key).or_insert_with(unknown);
+    ) -> bool {
+        let mut is_unknown = false;
+        let task = self.tasks.entry(key).or_insert_with(|| {
+            is_unknown = true;
+            TaskOnMachine::new(None, TaskPhase::Decided, incarnation)
+        });
         // Our command started the attempt, which proves that the worker receives what we send.
         if task.phase == TaskPhase::Decided && task.start_sent() {
             self.reachability.record_proof();
         }
         task.reported = true;
         if task.phase == TaskPhase::Gone {
-            return;
+            return is_unknown;
         }
         task.phase = reported_phase(report);
         if matches!(report.state, TaskState::Running) && task.running_since.is_none() {
             task.running_since = Some(now);
         }
+        is_unknown
     }
 
     /// Updates the attempts that the heartbeat does not contain.
--- a/crates/core/src/machine/token.rs
+++ b/crates/core/src/machine/token.rs
@@ -22,11 +22,12 @@
     /// Raises the machine's token to `newest`, the owner's newest one, if an attempt can be forgotten only then. Not
     /// while a command batch is in flight, since the worker would refuse it.
     pub fn raise_token(&mut self, newest: u64) -> TokenDemand {
-        let is_needed = self.tasks.values().any(|task| task.awaits_token_above(self.token));
-        if is_needed && newest > self.token && self.direct_batch.is_none() {
+        let awaited = self.tasks.values().filter_map(TaskOnMachine::awaits_token_above).max();
+        let Some(needed_above) = awaited else { return TokenDemand::Met };
+        if needed_above >= self.token && newest > self.token && self.direct_batch.is_none() {
             self.token = newest;
         }
-        match self.tasks.values().any(|task| task.awaits_token_above(newest)) {
+        match needed_above >= newest {
             true => TokenDemand::Unmet,
             false => TokenDemand::Met,
         }
@@ -62,14 +63,14 @@
             || !is_enforced(Guard::ForgetNeedsNewerToken)
     }
 
-    /// Returns whether only a token above this one lets the attempt be forgotten, or shows that it can't start any
-    /// more.
-    fn awaits_token_above(&self, token: u64) -> bool {
+    /// Returns the token above which one lets the attempt be forgotten, or shows that it can't start any more. `None`:
+    /// no token is awaited.
+    fn awaits_token_above(&self) -> Option<u64> {
         let is_ended = match self.phase {
             TaskPhase::Exited(..) => self.end_acknowledged && self.reported,
             TaskPhase::Decided => self.start_uncertain && self.stop.is_some(),
             TaskPhase::On(_) | TaskPhase::Gone => false,
         };
-        is_ended && !self.is_start_fenced(token)
+        self.start_token.filter(|&token| is_ended && !self.is_start_fenced(token))
     }
 }
--- a/crates/testkit/src/sim/late_copies.rs
+++ b/crates/testkit/src/sim/late_copies.rs
@@ -4,6 +4,7 @@
 //! Copies are drawn from a random number generator of their own, so that a copy without an effect leaves the run as it
 //! would be without it.
 use super::event::{Event, SentCommands, SentHeartbeat, SentStoreCall};
+use super::users::request_input;
 use super::{Sim, NODES};
 use crate::broken_rule::BrokenRule;
 use crate::script::CopiedKind;
@@ -187,15 +188,9 @@
     fn deliver_user_request_copy(&mut self, copy: &UserRequestCopy) -> Result<(), BrokenRule> {
         let Some(job) = self.rules.jobs.get(&copy.job) else { return Ok(()) };
         let id = JobId(parse_job_id(&copy.job).unwrap_or(0));
+        let job = Box::new(job.clone());
         self.next_request += 1;
-        let req = self.next_request;
-        let input = match copy.kind {
-            RequestKind::Submit => {
-                Input::Submit { req, id: Some(id), job: Ok(Box::new(job.clone())) }
-            }
-            RequestKind::Cancel => Input::Cancel { req, id },
-            RequestKind::Poll => Input::Get { req, id },
-        };
+        let input = request_input(copy.kind, self.next_request, id, job);
         self.step(copy.node, input)
     }
 }
--- a/crates/testkit/src/sim/users.rs
+++ b/crates/testkit/src/sim/users.rs
@@ -30,6 +30,15 @@
 /// With random faults, one of this many answers is lost.
 const LOST_REPLY_ODDS: u32 = 50;
 
+/// Returns a controller's input for a user's request about a job.
+pub(super) fn request_input(kind: RequestKind, req: u64, id: JobId, job: Box<Job>) -> Input {
+    match kind {
+        RequestKind::Submit => Input::Submit { req, id: Some(id), job: Ok(job) },
+        RequestKind::Poll => Input::Get { req, id },
+        RequestKind::Cancel => Input::Cancel { req, id },
+    }
+}
+
 impl Sim {
     /// Records, for each job that a committed transaction marks as done, how long after the end of the job's last
     /// task that happened.
@@ -96,9 +105,7 @@
         let is_misrouted = self.plan.defect == InjectedDefect::MisroutedCancellations;
         self.send_request(node, kind, id, |req| match kind {
             RequestKind::Cancel if is_misrouted => Input::Get { req, id: number },
-            RequestKind::Submit => Input::Submit { req, id: Some(number), job: Ok(job) },
-            RequestKind::Poll => Input::Get { req, id: number },
-            RequestKind::Cancel => Input::Cancel { req, id: number },
+            kind => request_input(kind, req, number, job),
         })
     }
 
