review: cases 4 to 6 start sooner, and hold their ports

Change: the scripts wait until each controller owns its own shard instead of for a fixed time; ports are held until they are listened on; refused links close their listener.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -33,10 +33,10 @@
     on = lambda name, job: any(t.job["id"] == job and t.state == "running" for t in world.workers[name].tasks.values())
     shape = dict(cargo="bathymodel", rig="group", cores=10.0, gpus=2.0, memoryGb=38.0, hulls=["icebreaker"],
                  together=True, manifest="img-01", imageGb=0.2)
-    first = world.job("wk-000411", 1, harbor="haro", passageS=3.0, **shape)
+    first = world.job("wk-000411", 1, harbor="haro", passageS=2.5, **shape)
     if await world.submit(first) != 201:
         raise CannotRun("not accepted")
-    await until("the first job does not run", lambda: on(ice[0], "wk-000411"), 10)
+    await until("the first job is not launched", lambda: world.workers[ice[0]].tasks, 10)
     gang = world.job("wk-000412", 2, passageS=40.0, **shape)
     if await world.submit(gang) != 201:
         raise CannotRun("not accepted")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,7 +25,6 @@
         raise CannotRun("no controllers")
     gang = world.job("wk-000412", 3, cargo="bathymodel", rig="group", cores=10.0, gpus=2.0, memoryGb=38.0,
                      hulls=["icebreaker"], together=True, passageS=20.0, manifest="img-01", imageGb=1.0)
-    await asyncio.sleep(3)
     if await world.submit(gang) != 201:
         raise CannotRun("not accepted")
     if trouble:
--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -26,22 +26,28 @@
     return time.monotonic()
 
 
-TAKEN = set()
+HELD = {}
 
 
 def free_port():
-    """Returns a free port below those that the system gives to outgoing connections."""
+    """Returns a free port below those that the system gives to outgoing connections, and holds it until `release`."""
     while True:
-        port = 12000 + (os.getpid() * 7 % 20) * 1000 + random.randrange(1000)
-        if port in TAKEN:
+        port = random.randrange(12000, 32000)
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", port))
+        except OSError:
+            held.close()
             continue
-        TAKEN.add(port)
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                pass
+        HELD[port] = held
+        return port
+
+
+def release(port):
+    """Lets go of a port that is about to be listened on."""
+    held = HELD.pop(port, None)
+    if held:
+        held.close()
 
 
 # ---------------------------------------------------------------- HTTP
@@ -90,6 +96,7 @@
             pass
         finally:
             writer.close()
+    release(port)
     return await asyncio.start_server(connection, "127.0.0.1", port, limit=1 << 20)
 
 
@@ -425,7 +432,13 @@
         self.jobs = []
 
     async def start(self):
-        self.server = await serve(self.handle, self.port)
+        while True:
+            try:
+                self.server = await serve(self.handle, self.port)
+                break
+            except OSError:  # somebody else took the port in the meantime
+                self.port = free_port()
+        self.world.cloud.machines[self.name]["endpoint"] = f"127.0.0.1:{self.port}"
         self.news.set()
         self.jobs = [asyncio.ensure_future(self.reports()), asyncio.ensure_future(self.lease())]
 
@@ -728,23 +741,26 @@
 
 
 class Link:
-    """A TCP proxy from one controller to another's mesh address, which can hold, or refuse."""
+    """A TCP proxy from one controller to another's mesh address, which can hold what passes, or refuse connections."""
 
     def __init__(self, target):
         self.port, self.target, self.mode = free_port(), target, "pass"
         self.writers = set()
 
     async def start(self):
-        await asyncio.start_server(self.connection, "127.0.0.1", self.port)
+        release(self.port)
+        self.server = await asyncio.start_server(self.connection, "127.0.0.1", self.port)
 
-    def reset(self):
+    async def refuse(self):
+        """Resets the open connections and refuses new ones."""
+        self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def allow(self):
+        await self.start()
+
     async def connection(self, reader, writer):
-        if self.mode == "refuse":
-            writer.transport.abort()
-            return
         self.writers.add(writer)
         while self.mode == "hold":
             await asyncio.sleep(0.05)
@@ -868,6 +884,8 @@
             json.dump(settings, f)
         import subprocess
         command = run_command()
+        release(node.port)
+        release(node.mesh)
         err = open(os.path.join(self.folder, f"{node.name}.log"), "a")
         node.process = subprocess.Popen(command + [path], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=err, stderr=err,
                                         env={**os.environ, "LOG_LEVEL": self.log})
@@ -901,12 +919,12 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     async def ready(self, timeout=20.0):
-        """Waits until each shard has an owner and all controllers answer /up."""
+        """Waits until each controller owns its own shard and all answer /up."""
         deadline = now() + timeout
         while now() < deadline:
             ups = [(await request(n.port, "GET", "/up", timeout=1.0))[0] for n in self.nodes]
-            if ups == [200] * 3 and sum(k.startswith("seat/") for k in self.store.items) == 3:
-                self.record("all controllers are up and each shard has an owner")
+            if ups == [200] * 3 and [self.owner(shard) for shard in range(3)] == [0, 1, 2]:
+                self.record("all controllers are up, and each owns its own shard")
                 return True
             await asyncio.sleep(0.2)
         return False
